Let one router of a zone read each list for the others

Ruled out: longer waits at the store alone, as a connection that falls silent then hides leaving targets beyond their bound. Change: routers rank themselves for each list; the first reads, tells the others what it read, and the next takes over after silence (ReadTurns, tested in virtual time: frozen reader, routers that are turned away, store down). What routers tell each other moved out of ForwardingNode to PeerExchange. A peer's report costs by its own length now (LoadBook summed all peers for each), and what waits is looked at only when room may have come.

--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -283,6 +283,11 @@
   node_.OnConfiguration(std::move(*table), aEffect.text_, aEffect.asOf_);
 }
 
+auto ForwardingProcess::Apply(const TakeListNews& aEffect) -> void
+{
+  source_.OnPeerNews(aEffect.list_, aEffect.news_);
+}
+
 auto ForwardingProcess::MetricsText() const -> std::string
 {
   const auto& counters = node_.Counters();
@@ -454,6 +459,19 @@
   node_.OnRouters(aRouters, BootNow());
 }
 
+auto ForwardingProcess::TimeToRead(SharedList aList, bool aFirst) -> Duration
+{
+  return node_.TimeToRead(aList, aFirst, BootNow());
+}
+
+auto ForwardingProcess::OnListRead(SharedList aList,
+                                   bool aSuccess,
+                                   std::optional<wire::ListNews> aNews) -> void
+{
+  node_.OnListRead(aList, aSuccess, std::move(aNews), BootNow());
+  Settle();
+}
+
 auto ForwardingProcess::Listen() -> absl::Status
 {
   auto status = OpenAcceptor(&acceptor_, settings_.callers_);
--- a/src/main/forwarding_process.h
+++ b/src/main/forwarding_process.h
@@ -78,6 +78,7 @@
   auto Apply(const RefuseCaller& aEffect) -> void;
   auto Apply(const SendToRouters& aEffect) -> void;
   auto Apply(const AdoptConfiguration& aEffect) -> void;
+  auto Apply(const TakeListNews& aEffect) -> void;
   [[nodiscard]] auto MetricsText() const -> std::string;
 
 public:
@@ -110,6 +111,10 @@
     -> void override;
   auto OnTargetListReachable(bool aReachable) -> void override;
   auto OnRouters(const std::vector<RouterAddress>& aRouters) -> void override;
+  auto TimeToRead(SharedList aList, bool aFirst) -> Duration override;
+  auto OnListRead(SharedList aList,
+                  bool aSuccess,
+                  std::optional<wire::ListNews> aNews) -> void override;
 
   /// Opens the listeners; the status names the address on failure.
   auto Listen() -> absl::Status;
--- a/src/process/forwarding/discovery_sink.h
+++ b/src/process/forwarding/discovery_sink.h
@@ -2,10 +2,13 @@
 #define BURDOCKRING_PROCESS_FORWARDING_DISCOVERY_SINK_H
 
 #include "base/time.h"
+#include "peer_types.h"
+#include "process/forwarding/read_turns.h"
 #include "process/forwarding/target_directory.h"
 #include "process/membership/peer_table.h"
 #include "version/route_table.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -39,6 +42,15 @@
   virtual auto OnTargetListReachable(bool aReachable) -> void = 0;
   virtual auto OnRouters(const std::vector<RouterAddress>& aRouters)
     -> void = 0;
+
+  /// Time until this router should read the list itself; zero: now. aFirst:
+  /// it has never read it.
+  virtual auto TimeToRead(SharedList aList, bool aFirst) -> Duration = 0;
+  /// An own read has ended. The news, if any, is for the routers near by; where
+  /// the source was out of reach it says so.
+  virtual auto OnListRead(SharedList aList,
+                          bool aSuccess,
+                          std::optional<wire::ListNews> aNews) -> void = 0;
 };
 
 } // namespace burdockring
--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -36,17 +36,24 @@
 }
 
 auto Dispatcher::TargetsOf(ServiceId aService)
-  -> const std::vector<const ListedTarget*>&
+  -> const std::vector<UsableTarget>&
 {
   if (targetsAsOf_ != directory_->Version()) {
     targets_.clear();
+    loads_.ForgetUnless([this](TargetId aTarget) {
+      return directory_->Find(aTarget) != nullptr;
+    });
     targetsAsOf_ = directory_->Version();
   }
   const auto found = targets_.find(aService);
   if (found != targets_.end()) {
     return found->second;
   }
-  return targets_.emplace(aService, directory_->Usable(aService)).first->second;
+  auto& targets = targets_[aService];
+  for (const auto* listed : directory_->Usable(aService)) {
+    targets.push_back({ listed, &loads_.At(listed->id_) });
+  }
+  return targets;
 }
 
 auto Dispatcher::OnTimeWait(const WorkItem& aItem, Instant aNow)
@@ -106,7 +113,7 @@
   bool overShare = false;
   const auto limits = LimitsFor(aItem, *service, aNow, &overShare);
   const auto candidate =
-    placement_.Choose(aItem, *service, targets, &loads_, limits, aNow);
+    placement_.Choose(aItem, *service, targets, limits, aNow);
   if (!candidate) {
     aRefusal->reason_ = RejectReason::kNoTarget;
     return false;
@@ -218,7 +225,7 @@
     Reject(aItem, refusal, aNow);
     return;
   }
-  waiting_.push_back({ std::move(aItem), giveUpAt });
+  waiting_.push_back({ std::move(aItem), giveUpAt, 0 });
 }
 
 auto Dispatcher::Withdraw(RequestId aRequest) -> void
@@ -235,6 +242,7 @@
     return;
   }
   auto& run = found->second;
+  mayHaveRoom_ = true;
   run.begun_ = true;
   auto& load = loads_.At(run.target_);
   load.Remove({ 0, run.adds_.prefillTokens_, 0 });
@@ -249,6 +257,7 @@
   if (found == runs_.end()) {
     return;
   }
+  mayHaveRoom_ = true;
   auto& load = loads_.At(found->second.target_);
   load.Remove(found->second.adds_);
   switch (aEnd) {
@@ -272,19 +281,19 @@
   if (waiting_.empty()) {
     return;
   }
-  std::stable_sort(waiting_.begin(), waiting_.end(),
-                   [&](const Waiting& aLeft, const Waiting& aRight) {
-                     return shares_.UseOfShare(aLeft.item_.account_, aNow) <
-                            shares_.UseOfShare(aRight.item_.account_, aNow);
-                   });
+  const bool mayHaveRoom = std::exchange(mayHaveRoom_, false);
+  if (mayHaveRoom) {
+    SortWaiting(aNow);
+  }
   std::vector<Waiting> still;
   for (auto& waiting : waiting_) {
+    const bool isLast = waiting.giveUpAt_ <= aNow;
     RejectWork refusal;
     refusal.request_ = waiting.item_.id_;
-    if (TryStart(waiting.item_, aNow, &refusal)) {
+    if ((mayHaveRoom || isLast) && TryStart(waiting.item_, aNow, &refusal)) {
       continue;
     }
-    if (waiting.giveUpAt_ <= aNow) {
+    if (isLast) {
       Reject(waiting.item_, refusal, aNow);
       continue;
     }
@@ -293,6 +302,17 @@
   waiting_ = std::move(still);
 }
 
+auto Dispatcher::SortWaiting(Instant aNow) -> void
+{
+  for (auto& waiting : waiting_) {
+    waiting.useOfShare_ = shares_.UseOfShare(waiting.item_.account_, aNow);
+  }
+  std::stable_sort(waiting_.begin(), waiting_.end(),
+                   [](const Waiting& aLeft, const Waiting& aRight) {
+                     return aLeft.useOfShare_ < aRight.useOfShare_;
+                   });
+}
+
 auto Dispatcher::TakeVerdicts() -> std::vector<DispatchVerdict>
 {
   return std::exchange(verdicts_, {});
@@ -302,6 +322,7 @@
                               const wire::LoadReport& aReport,
                               Instant aNow) -> void
 {
+  mayHaveRoom_ = true;
   loads_.SetPeer(aPeer, aReport.targets, aNow);
   shares_.SetPeer(aPeer, aReport.accounts, aNow);
   if (aReport.pressed) {
@@ -320,6 +341,11 @@
 
 auto Dispatcher::Tick(Instant aNow) -> void
 {
+  // Time alone ends avoidances and frees shares.
+  if (aNow - lastFullLook_ >= kFullLookInterval) {
+    lastFullLook_ = aNow;
+    mayHaveRoom_ = true;
+  }
   loads_.Tick(aNow);
 }
 
--- a/src/process/forwarding/dispatcher.h
+++ b/src/process/forwarding/dispatcher.h
@@ -96,6 +96,8 @@
   static constexpr Duration kMinRetryAfter = 500ms;
   static constexpr double kRetryAfterPart = 0.3;
   static constexpr Duration kMaxRetryAfter = 4s;
+  /// How often what waits is looked at though nothing is known to have changed.
+  static constexpr Duration kFullLookInterval = 25ms;
   /// Time to read a prompt token, in milliseconds.
   static constexpr double kPromptTokenMs = 0.028;
 
@@ -112,6 +114,8 @@
   {
     WorkItem item_;
     Instant giveUpAt_{};
+    /// Of the account's share, as of the last look.
+    double useOfShare_ = 0;
   };
 
   TargetDirectory* directory_;
@@ -128,9 +132,14 @@
   Instant ownPressedUntil_{};
   Instant peersPressedUntil_{};
   std::int64_t targetsAsOf_ = 0;
-  std::map<ServiceId, std::vector<const ListedTarget*>> targets_;
-
-  auto TargetsOf(ServiceId aService) -> const std::vector<const ListedTarget*>&;
+  std::map<ServiceId, std::vector<UsableTarget>> targets_;
+  /// Whether room may have come since the last look at what waits.
+  bool mayHaveRoom_ = false;
+  Instant lastFullLook_{};
+
+  auto TargetsOf(ServiceId aService) -> const std::vector<UsableTarget>&;
+  /// Puts those first whose account has used the least part of its share.
+  auto SortWaiting(Instant aNow) -> void;
   /// Longest wait for a first event on time; nothing where none can be.
   [[nodiscard]] static auto OnTimeWait(const WorkItem& aItem, Instant aNow)
     -> std::optional<Duration>;
--- a/src/process/forwarding/forwarding_effects.h
+++ b/src/process/forwarding/forwarding_effects.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "peer_types.h"
+#include "process/forwarding/read_turns.h"
 
 #include <cstdint>
 #include <optional>
@@ -73,11 +74,19 @@
   Instant asOf_{};
 };
 
+/// News of a list that a router near by has read.
+struct TakeListNews
+{
+  SharedList list_ = SharedList::kTargets;
+  wire::ListNews news_;
+};
+
 using ForwardingEffect = std::variant<SendAttempt,
                                       StopAttempt,
                                       RefuseCaller,
                                       SendToRouters,
-                                      AdoptConfiguration>;
+                                      AdoptConfiguration,
+                                      TakeListNews>;
 
 using ForwardingEffects = std::vector<ForwardingEffect>;
 
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -20,35 +20,12 @@
 constexpr Duration kSoon = 700ms;
 /// The same where any other router can serve the caller.
 constexpr Duration kAtOnce = 50ms;
-/// Shortest time between two reports of a load that has changed: a report that
-/// is older than the reading of a prompt misleads.
-constexpr Duration kReportInterval = 12ms;
-/// Added to that interval for each peer, so that reports cost the same in a
-/// fleet of any size.
-constexpr Duration kReportSpacing = 2ms;
-/// Time between reports that also tell the age of the configuration.
-constexpr Duration kStampedReportInterval = 400ms;
-constexpr Duration kConfigRequestInterval = 300ms;
 /// How often waiting requests are looked at again.
 constexpr Duration kPumpInterval = 5ms;
 /// How often beliefs about peers and targets are looked at.
 constexpr Duration kIdleInterval = 50ms;
 /// Output that is assumed where the caller gives no estimate, in tokens.
 constexpr int kDefaultOutputTokens = 64;
-/// Largest configuration that is passed on in a datagram, in bytes.
-constexpr std::size_t kMaxOfferBytes = 60'000;
-
-auto ToMicros(Instant aInstant) -> std::int64_t
-{
-  return aInstant.count();
-}
-
-/// A router that has just started, or leaves, works with the same targets as
-/// those that are known to live.
-auto TakesReports(const Peer& aPeer) -> bool
-{
-  return aPeer.state_ != PeerState::kDead;
-}
 
 auto ToMillis(Duration aDuration) -> std::int64_t
 {
@@ -216,7 +193,7 @@
     return;
   }
   request->machine_.Process(AttemptStarted{});
-  loadChanged_ = true;
+  peers_.NoteLoadChanged();
   request->attempting_ = true;
   ++request->attempt_;
   request->target_ = aVerdict.target_;
@@ -234,10 +211,10 @@
     (aNow - request->arrival_.received_);
   send.lastEvent_ = request->lastEvent_;
   send.runsOnce_ = !request->route_->MayRepeat();
-  send.maxConnections_ =
-    service == nullptr
-      ? 0
-      : std::max(4, service->maxConnections_ / std::max(1, RouterCount()));
+  send.maxConnections_ = service == nullptr
+                           ? 0
+                           : std::max(4, service->maxConnections_ /
+                                           std::max(1, peers_.RouterCount()));
   effects_.emplace_back(std::move(send));
 }
 
@@ -268,114 +245,6 @@
   }
 }
 
-auto ForwardingNode::SendHeartbeats(Instant aNow) -> void
-{
-  for (auto& addressed : peers_.Tick(aNow, config_.Table()->Version())) {
-    const auto peer = peers_.Peers().find(addressed.router_);
-    if (peer == peers_.Peers().end()) {
-      continue;
-    }
-    wire::Envelope envelope;
-    envelope.__isset.heartbeat = true;
-    envelope.heartbeat = std::move(addressed.heartbeat_);
-    SendTo(peer->second.address_, std::move(envelope));
-  }
-  // Datagrams have no connection to try anew.
-  peers_.TakeProbes();
-}
-
-auto ForwardingNode::ReportInterval() const -> Duration
-{
-  return kReportInterval +
-         kReportSpacing * static_cast<int>(peers_.Peers().size());
-}
-
-auto ForwardingNode::SendReports(Instant aNow) -> void
-{
-  const bool stamped = aNow - lastStampedReport_ >= kStampedReportInterval;
-  const bool due = loadChanged_ && aNow - lastReport_ >= ReportInterval();
-  if (!stamped && !due) {
-    return;
-  }
-  lastReport_ = aNow;
-  loadChanged_ = false;
-  wire::Envelope envelope;
-  envelope.__isset.load = true;
-  envelope.load = dispatcher_.MakeReport(aNow);
-  if (stamped) {
-    SendStampedReports(std::move(envelope), aNow);
-    return;
-  }
-  SendToRouters send;
-  for (const auto& entry : peers_.Peers()) {
-    if (TakesReports(entry.second)) {
-      const auto& address = entry.second.address_;
-      send.routers_.push_back({ address.host_, address.peerPort_ });
-    }
-  }
-  envelope.sender = peers_.Self().id_.value_;
-  envelope.incarnation = incarnation_;
-  send.envelope_ = std::move(envelope);
-  effects_.emplace_back(std::move(send));
-}
-
-auto ForwardingNode::SendStampedReports(wire::Envelope aEnvelope, Instant aNow)
-  -> void
-{
-  lastStampedReport_ = aNow;
-  aEnvelope.load.configVersion = config_.Table()->Version();
-  aEnvelope.load.configAgeMicros = (aNow - config_.AsOf()).count();
-  aEnvelope.load.stampMicros = ToMicros(aNow);
-  for (const auto& entry : peers_.Peers()) {
-    if (!TakesReports(entry.second)) {
-      continue;
-    }
-    const auto stamp = stamps_.find(entry.first);
-    aEnvelope.load.echoMicros = stamp == stamps_.end() ? 0 : stamp->second;
-    SendTo(entry.second.address_, aEnvelope);
-  }
-}
-
-auto ForwardingNode::OnLoadReport(RouterId aFrom,
-                                  const wire::LoadReport& aReport,
-                                  Instant aNow) -> void
-{
-  dispatcher_.OnPeerReport(aFrom, aReport, aNow);
-  if (aReport.stampMicros == 0) {
-    return;
-  }
-  stamps_[aFrom] = aReport.stampMicros;
-  const auto have = config_.Table()->Version();
-  // The peer's age counts from when it sent, which was after it had read the
-  // stamp that it echoes; so the echo is the earliest that its word holds for.
-  const Instant asOf =
-    Instant(aReport.echoMicros) - Duration(aReport.configAgeMicros);
-  if (aReport.echoMicros > 0 && aReport.configVersion == have) {
-    config_.Confirm(asOf);
-  }
-  if (aReport.configVersion > have &&
-      aNow - lastConfigRequest_ > kConfigRequestInterval) {
-    const auto peer = peers_.Peers().find(aFrom);
-    if (peer == peers_.Peers().end()) {
-      return;
-    }
-    lastConfigRequest_ = aNow;
-    wire::Envelope ask;
-    ask.__isset.configRequest = true;
-    ask.configRequest.haveVersion = have;
-    SendTo(peer->second.address_, std::move(ask));
-  }
-}
-
-auto ForwardingNode::SendTo(const RouterAddress& aRouter,
-                            wire::Envelope aEnvelope) -> void
-{
-  aEnvelope.sender = peers_.Self().id_.value_;
-  aEnvelope.incarnation = incarnation_;
-  effects_.emplace_back(SendToRouters{ { { aRouter.host_, aRouter.peerPort_ } },
-                                       std::move(aEnvelope) });
-}
-
 auto ForwardingNode::LogChanges() -> void
 {
   for (const auto& change : directory_.TakeChanges()) {
@@ -384,19 +253,6 @@
       { { "target", change.instance_ },
         { "targets", static_cast<std::int64_t>(directory_.Size()) } });
   }
-  for (const auto& change : peers_.TakeChanges()) {
-    const auto found = peers_.Peers().find(change.router_);
-    log_->Write("peer_changed", { { "peer", found == peers_.Peers().end()
-                                              ? std::string_view("unlisted")
-                                              : found->second.address_.name_ },
-                                  { "from", PeerStateName(change.from_) },
-                                  { "to", PeerStateName(change.to_) } });
-  }
-}
-
-auto ForwardingNode::RouterCount() const -> int
-{
-  return static_cast<int>(peers_.Peers().size()) + 1;
 }
 
 ForwardingNode::ForwardingNode(const ForwardingOptions& aOptions,
@@ -405,10 +261,10 @@
                                EventLog* aLog)
   : options_(aOptions)
   , log_(aLog)
-  , incarnation_(aIncarnation)
   , dispatcher_(
       &directory_, aSelf.zone_, static_cast<std::uint32_t>(aIncarnation))
-  , peers_(std::move(aSelf), aIncarnation)
+  , peers_(
+      std::move(aSelf), aIncarnation, &config_, &dispatcher_, aLog, &effects_)
 {
 }
 
@@ -488,7 +344,7 @@
   }
   request->answering_ = true;
   dispatcher_.OnFirstEvent(aRequest, aNow);
-  loadChanged_ = true;
+  peers_.NoteLoadChanged();
 }
 
 auto ForwardingNode::OnEventForwarded(RequestId aRequest, std::uint64_t aEvent)
@@ -529,7 +385,7 @@
   request->machine_.Process(RefusedUnrun{});
   auto& allowance = allowances_[request->item_.service_];
   if (request->sentAttempts_ < request->route_->maxAttempts_ &&
-      allowance.Spend(options_.retries_, RouterCount(), aNow)) {
+      allowance.Spend(options_.retries_, peers_.RouterCount(), aNow)) {
     ++counters_.retries_;
     log_->Write("retried", { { "request", request->arrival_.facts_.attemptId_ },
                              { "cause", "refused by target" } });
@@ -559,8 +415,8 @@
                request->sentAttempts_ < request->route_->maxAttempts_ &&
                (!request->answering_ ||
                 request->route_->kind_ == RouteKind::kStream) &&
-               allowances_[request->item_.service_].Spend(options_.retries_,
-                                                          RouterCount(), aNow);
+               allowances_[request->item_.service_].Spend(
+                 options_.retries_, peers_.RouterCount(), aNow);
   log_->Write(may ? "retried" : "attempt_failed",
               { { "request", request->arrival_.facts_.attemptId_ },
                 { "cause", aCause },
@@ -593,6 +449,7 @@
     return;
   }
   dispatcher_.SetTable(config_.Table());
+  peers_.OnConfigurationInForce(aAsOf > 0us);
   log_->Write(
     "configuration_in_force",
     { { "version", version }, { "before", before }, { "routes", routes } });
@@ -614,35 +471,24 @@
   peers_.SetListed(aRouters, aNow);
 }
 
+auto ForwardingNode::TimeToRead(SharedList aList, bool aFirst, Instant aNow)
+  -> Duration
+{
+  return peers_.TimeToRead(aList, aFirst, aNow);
+}
+
+auto ForwardingNode::OnListRead(SharedList aList,
+                                bool aSuccess,
+                                std::optional<wire::ListNews> aNews,
+                                Instant aNow) -> void
+{
+  peers_.OnListRead(aList, aSuccess, std::move(aNews), aNow);
+}
+
 auto ForwardingNode::OnPeer(const wire::Envelope& aEnvelope, Instant aNow)
   -> void
 {
-  const RouterId from{ aEnvelope.sender };
-  if (aEnvelope.__isset.heartbeat) {
-    peers_.OnHeartbeat(from, aEnvelope.incarnation, aEnvelope.heartbeat, aNow);
-  }
-  if (aEnvelope.__isset.load) {
-    OnLoadReport(from, aEnvelope.load, aNow);
-  }
-  if (aEnvelope.__isset.configRequest &&
-      aEnvelope.configRequest.haveVersion < config_.Table()->Version() &&
-      config_.Text().size() <= kMaxOfferBytes) {
-    const auto peer = peers_.Peers().find(from);
-    if (peer == peers_.Peers().end()) {
-      return;
-    }
-    wire::Envelope offer;
-    offer.__isset.configOffer = true;
-    offer.configOffer.version = config_.Table()->Version();
-    offer.configOffer.text = config_.Text();
-    SendTo(peer->second.address_, std::move(offer));
-  }
-  if (aEnvelope.__isset.configOffer &&
-      aEnvelope.configOffer.version > config_.Table()->Version()) {
-    // How old the peer's word is comes with its next load report.
-    effects_.emplace_back(
-      AdoptConfiguration{ aEnvelope.configOffer.text, 0us });
-  }
+  peers_.OnPeer(aEnvelope, aNow);
 }
 
 auto ForwardingNode::Tick(Instant aNow) -> void
@@ -652,8 +498,7 @@
   dispatcher_.Tick(aNow);
   dispatcher_.Pump(aNow);
   TakeVerdicts(aNow);
-  SendHeartbeats(aNow);
-  SendReports(aNow);
+  peers_.Tick(aNow);
   LogChanges();
 }
 
@@ -666,8 +511,8 @@
   if (!deadlines_.empty()) {
     wake = std::min(wake, deadlines_.begin()->first);
   }
-  if (loadChanged_) {
-    wake = std::min(wake, lastReport_ + ReportInterval());
+  if (const auto report = peers_.NextWake()) {
+    wake = std::min(wake, *report);
   }
   return wake;
 }
@@ -725,7 +570,7 @@
 
 auto ForwardingNode::Peers() const -> const PeerTable&
 {
-  return peers_;
+  return peers_.Peers();
 }
 
 auto ForwardingNode::AccountOf(RequestId aRequest) const -> std::string_view
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -5,9 +5,9 @@
 #include "process/forwarding/dispatcher.h"
 #include "process/forwarding/event_log.h"
 #include "process/forwarding/forwarding_effects.h"
+#include "process/forwarding/peer_exchange.h"
 #include "process/forwarding/retry_allowance.h"
 #include "process/forwarding/target_directory.h"
-#include "process/membership/peer_table.h"
 #include "request/request_facts.h"
 #include "request/request_machine.h"
 
@@ -93,23 +93,15 @@
 
   ForwardingOptions options_;
   EventLog* log_;
-  std::int64_t incarnation_;
   ConfigInForceState config_;
   TargetDirectory directory_;
   Dispatcher dispatcher_;
-  PeerTable peers_;
   std::map<RequestId, std::unique_ptr<Request>> requests_;
   std::set<std::pair<Instant, RequestId>> deadlines_;
   std::map<ServiceId, RetryAllowance> allowances_;
-  /// The last stamp heard of each peer, to be echoed.
-  std::map<RouterId, std::int64_t> stamps_;
   ForwardingEffects effects_;
+  PeerExchange peers_;
   ForwardingCounters counters_;
-  Instant lastReport_{};
-  Instant lastStampedReport_{};
-  /// Whether this router's load has changed since the last report.
-  bool loadChanged_ = false;
-  Instant lastConfigRequest_{};
   bool stopping_ = false;
   bool turnsStreamsAway_ = false;
 
@@ -135,16 +127,7 @@
   auto Apply(const StartWork& aVerdict, Instant aNow) -> void;
   auto Apply(const RejectWork& aVerdict, Instant aNow) -> void;
   auto Expire(Instant aNow) -> void;
-  auto SendHeartbeats(Instant aNow) -> void;
-  auto SendReports(Instant aNow) -> void;
-  auto SendStampedReports(wire::Envelope aEnvelope, Instant aNow) -> void;
-  [[nodiscard]] auto ReportInterval() const -> Duration;
-  auto OnLoadReport(RouterId aFrom,
-                    const wire::LoadReport& aReport,
-                    Instant aNow) -> void;
-  auto SendTo(const RouterAddress& aRouter, wire::Envelope aEnvelope) -> void;
   auto LogChanges() -> void;
-  [[nodiscard]] auto RouterCount() const -> int;
 
 public:
   ForwardingNode(const ForwardingOptions& aOptions,
@@ -185,6 +168,13 @@
   auto OnRouters(const std::vector<RouterAddress>& aRouters, Instant aNow)
     -> void;
   auto OnPeer(const wire::Envelope& aEnvelope, Instant aNow) -> void;
+  /// Time until this router should read a list itself; zero: now.
+  auto TimeToRead(SharedList aList, bool aFirst, Instant aNow) -> Duration;
+  /// An own read of a list has ended; its news is for the routers near by.
+  auto OnListRead(SharedList aList,
+                  bool aSuccess,
+                  std::optional<wire::ListNews> aNews,
+                  Instant aNow) -> void;
 
   /// Time has passed; call at least as often as NextWake says.
   auto Tick(Instant aNow) -> void;
--- a/src/process/forwarding/placement.cpp
+++ b/src/process/forwarding/placement.cpp
@@ -52,7 +52,7 @@
 /// The rendezvous choices of the last shared part, by their places in aTargets,
 /// best first; none where nothing is shared.
 auto FindKeepers(const WorkItem& aItem,
-                 const std::vector<const ListedTarget*>& aTargets,
+                 const std::vector<UsableTarget>& aTargets,
                  std::size_t aCount) -> std::vector<std::size_t>
 {
   if (aItem.parts_.size() < 2) {
@@ -61,9 +61,11 @@
   const auto part = aItem.parts_[aItem.parts_.size() - 2].id_;
   const auto subject = static_cast<std::int32_t>(part ^ (part >> 32U));
   std::vector<std::pair<std::uint64_t, std::size_t>> scored;
+  scored.reserve(aTargets.size());
   for (std::size_t i = 0; i < aTargets.size(); ++i) {
     scored.emplace_back(
-      RendezvousScore(aTargets[i]->id_.value_, subject, kPlacementSalt), i);
+      RendezvousScore(aTargets[i].listed_->id_.value_, subject, kPlacementSalt),
+      i);
   }
   const auto count = std::min(aCount, scored.size());
   std::partial_sort(scored.begin(),
@@ -76,6 +78,31 @@
   return keepers;
 }
 
+/// Places in aTargets of those that the request may go to.
+auto MayTake(const WorkItem& aItem,
+             const std::vector<UsableTarget>& aTargets,
+             Instant aNow) -> std::vector<std::size_t>
+{
+  std::vector<std::size_t> places;
+  std::optional<std::size_t> leastAvoided;
+  for (std::size_t i = 0; i < aTargets.size(); ++i) {
+    const auto& target = aTargets[i];
+    if (HasTried(aItem, target.listed_->id_)) {
+      continue;
+    }
+    if (!target.load_->IsAvoided(aNow)) {
+      places.push_back(i);
+    } else if (!leastAvoided || target.load_->AvoidUntil() <
+                                  aTargets[*leastAvoided].load_->AvoidUntil()) {
+      leastAvoided = i;
+    }
+  }
+  if (places.empty() && leastAvoided) {
+    places.push_back(*leastAvoided);
+  }
+  return places;
+}
+
 } // namespace
 
 auto OwnTokens(const WorkItem& aItem) -> int
@@ -85,23 +112,23 @@
 
 auto Placement::WeighEngine(const WorkItem& aItem,
                             const RoutedService& aService,
-                            const ListedTarget& aTarget,
-                            const TargetLoad& aLoad,
+                            const UsableTarget& aTarget,
                             std::size_t aRank,
                             const PlaceLimits& aLimits,
                             Instant aNow) const -> Candidate
 {
+  const auto& load = *aTarget.load_;
   const int shared = SharedTokens(aItem);
   const int kept =
-    aRank == 0 ? shared : std::min(shared, KeptTokens(aItem, aLoad, aNow));
+    aRank == 0 ? shared : std::min(shared, KeptTokens(aItem, load, aNow));
   const int read = std::max(1, aItem.promptTokens_ - kept);
-  const auto total = aLoad.Total();
-  const int slots = std::max(1, aTarget.slots_);
+  const auto total = load.Total();
+  const int slots = std::max(1, aTarget.listed_->slots_);
   Candidate candidate;
-  candidate.target_ = aTarget.id_;
+  candidate.target_ = aTarget.listed_->id_;
   candidate.adds_ = { 1, read, read + aItem.outputTokens_ };
-  candidate.backlog_ = aLoad.PrefillTime(0);
-  candidate.wait_ = aLoad.PrefillTime(read) + kFirstEventTime;
+  candidate.backlog_ = load.PrefillTime(0);
+  candidate.wait_ = load.PrefillTime(read) + kFirstEventTime;
   candidate.cost_ =
     candidate.wait_ + std::chrono::duration_cast<Duration>(
                         std::chrono::duration<double, std::milli>(
@@ -109,7 +136,7 @@
   if (shared > 0) {
     candidate.cost_ += kRankPenalty * static_cast<int>(aRank);
   }
-  if (aTarget.zone_ != home_) {
+  if (aTarget.listed_->zone_ != home_) {
     candidate.cost_ += kFarPenalty;
   }
   const double memory = total.memoryTokens_ + candidate.adds_.memoryTokens_;
@@ -125,19 +152,14 @@
 
 auto Placement::ChooseEngine(const WorkItem& aItem,
                              const RoutedService& aService,
-                             const std::vector<const ListedTarget*>& aTargets,
-                             LoadBook* aLoads,
+                             const std::vector<UsableTarget>& aTargets,
                              const PlaceLimits& aLimits,
                              Instant aNow) const -> std::optional<Candidate>
 {
   const auto keepers = FindKeepers(aItem, aTargets, kKeepers);
   const bool heavy = SharedTokens(aItem) >= kHeavyTokens;
   std::optional<Candidate> best;
-  for (std::size_t i = 0; i < aTargets.size(); ++i) {
-    const auto& load = aLoads->At(aTargets[i]->id_);
-    if (HasTried(aItem, aTargets[i]->id_) || load.IsAvoided(aNow)) {
-      continue;
-    }
+  for (const auto i : MayTake(aItem, aTargets, aNow)) {
     const auto rank = static_cast<std::size_t>(
       std::find(keepers.begin(), keepers.end(), i) - keepers.begin());
     auto limits = aLimits;
@@ -148,7 +170,7 @@
         std::min<Duration>(limits.maxBacklog_, kElsewhereBacklog);
     }
     auto candidate =
-      WeighEngine(aItem, aService, *aTargets[i], load, rank, limits, aNow);
+      WeighEngine(aItem, aService, aTargets[i], rank, limits, aNow);
     if (!best || IsBetter(candidate, *best)) {
       best = candidate;
     }
@@ -156,12 +178,14 @@
   return best;
 }
 
-auto Placement::ChoosePlain(const std::vector<const ListedTarget*>& aTargets,
-                            LoadBook* aLoads) const -> std::optional<Candidate>
+auto Placement::ChoosePlain(const WorkItem& aItem,
+                            const std::vector<UsableTarget>& aTargets,
+                            Instant aNow) const -> std::optional<Candidate>
 {
   std::optional<Candidate> best;
-  for (const auto* target : aTargets) {
-    const auto total = aLoads->At(target->id_).Total();
+  for (const auto i : MayTake(aItem, aTargets, aNow)) {
+    const auto* target = aTargets[i].listed_;
+    const auto total = aTargets[i].load_->Total();
     Candidate candidate;
     candidate.target_ = target->id_;
     candidate.adds_ = { 1, 0, 0 };
@@ -185,22 +209,13 @@
 
 auto Placement::Choose(const WorkItem& aItem,
                        const RoutedService& aService,
-                       const std::vector<const ListedTarget*>& aListed,
-                       LoadBook* aLoads,
+                       const std::vector<UsableTarget>& aTargets,
                        const PlaceLimits& aLimits,
                        Instant aNow) const -> std::optional<Candidate>
 {
-  if (aService.isEngine_) {
-    return ChooseEngine(aItem, aService, aListed, aLoads, aLimits, aNow);
-  }
-  std::vector<const ListedTarget*> usable;
-  for (const auto* target : aListed) {
-    if (!HasTried(aItem, target->id_) &&
-        !aLoads->At(target->id_).IsAvoided(aNow)) {
-      usable.push_back(target);
-    }
-  }
-  return ChoosePlain(usable, aLoads);
+  return aService.isEngine_
+           ? ChooseEngine(aItem, aService, aTargets, aLimits, aNow)
+           : ChoosePlain(aItem, aTargets, aNow);
 }
 
 } // namespace burdockring
--- a/src/process/forwarding/placement.h
+++ b/src/process/forwarding/placement.h
@@ -29,6 +29,13 @@
   std::vector<TargetId> tried_;
 };
 
+/// A listed target and what is known of its load.
+struct UsableTarget
+{
+  const ListedTarget* listed_ = nullptr;
+  TargetLoad* load_ = nullptr;
+};
+
 /// What a target must offer for a request to start there.
 struct PlaceLimits
 {
@@ -67,6 +74,9 @@
 ///
 /// Plain services: the target with the fewest requests, near ones first.
 ///
+/// A target that lately failed is avoided while there is another; where all
+/// failed, the one whose avoidance ends first is tried.
+///
 /// Load pattern: hundreds of prompts a second, half of whose tokens are shared
 /// by some; long prompts ahead of short ones on the same engine.
 class Placement
@@ -95,20 +105,19 @@
 
   auto WeighEngine(const WorkItem& aItem,
                    const RoutedService& aService,
-                   const ListedTarget& aTarget,
-                   const TargetLoad& aLoad,
+                   const UsableTarget& aTarget,
                    std::size_t aRank,
                    const PlaceLimits& aLimits,
                    Instant aNow) const -> Candidate;
-  [[nodiscard]] auto ChooseEngine(
-    const WorkItem& aItem,
-    const RoutedService& aService,
-    const std::vector<const ListedTarget*>& aTargets,
-    LoadBook* aLoads,
-    const PlaceLimits& aLimits,
-    Instant aNow) const -> std::optional<Candidate>;
-  [[nodiscard]] auto ChoosePlain(
-    const std::vector<const ListedTarget*>& aTargets, LoadBook* aLoads) const
+  [[nodiscard]] auto ChooseEngine(const WorkItem& aItem,
+                                  const RoutedService& aService,
+                                  const std::vector<UsableTarget>& aTargets,
+                                  const PlaceLimits& aLimits,
+                                  Instant aNow) const
+    -> std::optional<Candidate>;
+  [[nodiscard]] auto ChoosePlain(const WorkItem& aItem,
+                                 const std::vector<UsableTarget>& aTargets,
+                                 Instant aNow) const
     -> std::optional<Candidate>;
 
 public:
@@ -117,8 +126,7 @@
   /// The best target, or nothing where none may be used.
   [[nodiscard]] auto Choose(const WorkItem& aItem,
                             const RoutedService& aService,
-                            const std::vector<const ListedTarget*>& aListed,
-                            LoadBook* aLoads,
+                            const std::vector<UsableTarget>& aTargets,
                             const PlaceLimits& aLimits,
                             Instant aNow) const -> std::optional<Candidate>;
 };
--- a/src/process/forwarding/target_load.cpp
+++ b/src/process/forwarding/target_load.cpp
@@ -11,6 +11,11 @@
     std::chrono::duration<double, std::milli>(aMilliseconds));
 }
 
+auto AmountsOf(const wire::TargetUse& aUse) -> TargetAmounts
+{
+  return { aUse.running, aUse.prefillTokens, aUse.memoryTokens };
+}
+
 } // namespace
 
 auto TargetAmounts::operator+=(const TargetAmounts& aOther) -> TargetAmounts&
@@ -49,9 +54,11 @@
   own_ -= aAmounts;
 }
 
-auto TargetLoad::SetPeers(const TargetAmounts& aAmounts) -> void
+auto TargetLoad::ChangePeers(const TargetAmounts& aLess,
+                             const TargetAmounts& aMore) -> void
 {
-  peers_ = aAmounts;
+  peers_ -= aLess;
+  peers_ += aMore;
 }
 
 auto TargetLoad::NotePart(std::uint64_t aPart, Instant aNow) -> void
@@ -126,19 +133,10 @@
   return pace_;
 }
 
-auto LoadBook::SumPeers() -> void
+auto LoadBook::Drop(const PeerUse& aUse) -> void
 {
-  std::map<TargetId, TargetAmounts> sums;
-  for (const auto& peer : peers_) {
-    for (const auto& use : peer.second.targets_) {
-      sums[TargetId{ use.target }] +=
-        { use.running, use.prefillTokens, use.memoryTokens };
-    }
-  }
-  for (auto& entry : loads_) {
-    const auto found = sums.find(entry.first);
-    entry.second.SetPeers(found == sums.end() ? TargetAmounts{}
-                                              : found->second);
+  for (const auto& use : aUse.targets_) {
+    At(TargetId{ use.target }).ChangePeers(AmountsOf(use), {});
   }
 }
 
@@ -153,27 +151,34 @@
   return found == loads_.end() ? nullptr : &found->second;
 }
 
-auto LoadBook::Forget(TargetId aTarget) -> void
+auto LoadBook::ForgetUnless(const std::function<bool(TargetId)>& aKeeps) -> void
 {
-  loads_.erase(aTarget);
+  std::erase_if(loads_, [&](const auto& aEntry) {
+    return aEntry.second.Total().running_ == 0 && !aKeeps(aEntry.first);
+  });
 }
 
 auto LoadBook::SetPeer(RouterId aPeer,
                        const std::vector<wire::TargetUse>& aTargets,
                        Instant aNow) -> void
 {
-  peers_[aPeer] = { aNow, aTargets };
-  SumPeers();
+  auto& peer = peers_[aPeer];
+  Drop(peer);
+  peer = { aNow, aTargets };
+  for (const auto& use : aTargets) {
+    At(TargetId{ use.target }).ChangePeers({}, AmountsOf(use));
+  }
 }
 
 auto LoadBook::Tick(Instant aNow) -> void
 {
-  const auto erased = std::erase_if(peers_, [&](const auto& aEntry) {
-    return aNow - aEntry.second.at_ > kPeerLife;
+  std::erase_if(peers_, [&](const auto& aEntry) {
+    const bool silent = aNow - aEntry.second.at_ > kPeerLife;
+    if (silent) {
+      Drop(aEntry.second);
+    }
+    return silent;
   });
-  if (erased > 0) {
-    SumPeers();
-  }
 }
 
 auto LoadBook::OwnUse() const -> std::vector<wire::TargetUse>
--- a/src/process/forwarding/target_load.h
+++ b/src/process/forwarding/target_load.h
@@ -6,6 +6,7 @@
 #include "peer_types.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -59,7 +60,9 @@
 public:
   auto Add(const TargetAmounts& aAmounts) -> void;
   auto Remove(const TargetAmounts& aAmounts) -> void;
-  auto SetPeers(const TargetAmounts& aAmounts) -> void;
+  /// Takes up what a peer's work here has changed by.
+  auto ChangePeers(const TargetAmounts& aLess, const TargetAmounts& aMore)
+    -> void;
 
   /// A request with this part was sent here.
   auto NotePart(std::uint64_t aPart, Instant aNow) -> void;
@@ -80,7 +83,8 @@
   [[nodiscard]] auto Pace() const -> double;
 };
 
-/// Loads of all targets, with the peers' reports of them.
+/// Loads of all targets, with the peers' reports of them. A report costs by its
+/// own length, not by the number of peers.
 class LoadBook
 {
   /// A peer that was silent for so long is left out.
@@ -95,12 +99,14 @@
   std::map<TargetId, TargetLoad> loads_;
   std::map<RouterId, PeerUse> peers_;
 
-  auto SumPeers() -> void;
+  /// Takes a peer's work out of the loads.
+  auto Drop(const PeerUse& aUse) -> void;
 
 public:
   auto At(TargetId aTarget) -> TargetLoad&;
   [[nodiscard]] auto Find(TargetId aTarget) const -> const TargetLoad*;
-  auto Forget(TargetId aTarget) -> void;
+  /// Drops the loads that aKeeps denies and that nothing runs at.
+  auto ForgetUnless(const std::function<bool(TargetId)>& aKeeps) -> void;
   auto SetPeer(RouterId aPeer,
                const std::vector<wire::TargetUse>& aTargets,
                Instant aNow) -> void;
--- a/src/wire/gen/peer_types.cpp
+++ b/src/wire/gen/peer_types.cpp
@@ -2850,6 +2850,178 @@
 }
 
 
+ListNews::~ListNews() noexcept {
+}
+
+
+void ListNews::__set_sharedList(const int32_t val) {
+  this->sharedList = val;
+}
+
+void ListNews::__set_fromOffset(const int64_t val) {
+  this->fromOffset = val;
+}
+
+void ListNews::__set_toOffset(const int64_t val) {
+  this->toOffset = val;
+}
+
+void ListNews::__set_reachable(const bool val) {
+  this->reachable = val;
+}
+
+void ListNews::__set_batch(const std::string& val) {
+  this->batch = val;
+}
+std::ostream& operator<<(std::ostream& out, const ListNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ListNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sharedList);
+          this->__isset.sharedList = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fromOffset);
+          this->__isset.fromOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->toOffset);
+          this->__isset.toOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reachable);
+          this->__isset.reachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->batch);
+          this->__isset.batch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ListNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ListNews");
+
+  xfer += oprot->writeFieldBegin("sharedList", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->sharedList);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fromOffset", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->fromOffset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("toOffset", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->toOffset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reachable", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->reachable);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("batch", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeBinary(this->batch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ListNews &a, ListNews &b) {
+  using ::std::swap;
+  swap(a.sharedList, b.sharedList);
+  swap(a.fromOffset, b.fromOffset);
+  swap(a.toOffset, b.toOffset);
+  swap(a.reachable, b.reachable);
+  swap(a.batch, b.batch);
+  swap(a.__isset, b.__isset);
+}
+
+ListNews::ListNews(const ListNews& other92) {
+  sharedList = other92.sharedList;
+  fromOffset = other92.fromOffset;
+  toOffset = other92.toOffset;
+  reachable = other92.reachable;
+  batch = other92.batch;
+  __isset = other92.__isset;
+}
+ListNews& ListNews::operator=(const ListNews& other93) {
+  sharedList = other93.sharedList;
+  fromOffset = other93.fromOffset;
+  toOffset = other93.toOffset;
+  reachable = other93.reachable;
+  batch = other93.batch;
+  __isset = other93.__isset;
+  return *this;
+}
+void ListNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ListNews(";
+  out << "sharedList=" << to_string(sharedList);
+  out << ", " << "fromOffset=" << to_string(fromOffset);
+  out << ", " << "toOffset=" << to_string(toOffset);
+  out << ", " << "reachable=" << to_string(reachable);
+  out << ", " << "batch=" << to_string(batch);
+  out << ")";
+}
+
+
 Envelope::~Envelope() noexcept {
 }
 
@@ -2896,6 +3068,11 @@
   this->load = val;
 __isset.load = true;
 }
+
+void Envelope::__set_listNews(const ListNews& val) {
+  this->listNews = val;
+__isset.listNews = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -2996,6 +3173,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->listNews.read(iprot);
+          this->__isset.listNews = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3056,6 +3241,11 @@
     xfer += this->load.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.listNews) {
+    xfer += oprot->writeFieldBegin("listNews", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->listNews.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3072,32 +3262,35 @@
   swap(a.configOffer, b.configOffer);
   swap(a.configRequest, b.configRequest);
   swap(a.load, b.load);
+  swap(a.listNews, b.listNews);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other92) {
-  sender = other92.sender;
-  incarnation = other92.incarnation;
-  heartbeat = other92.heartbeat;
-  demand = other92.demand;
-  grants = other92.grants;
-  exchange = other92.exchange;
-  configOffer = other92.configOffer;
-  configRequest = other92.configRequest;
-  load = other92.load;
-  __isset = other92.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other93) {
-  sender = other93.sender;
-  incarnation = other93.incarnation;
-  heartbeat = other93.heartbeat;
-  demand = other93.demand;
-  grants = other93.grants;
-  exchange = other93.exchange;
-  configOffer = other93.configOffer;
-  configRequest = other93.configRequest;
-  load = other93.load;
-  __isset = other93.__isset;
+Envelope::Envelope(const Envelope& other94) {
+  sender = other94.sender;
+  incarnation = other94.incarnation;
+  heartbeat = other94.heartbeat;
+  demand = other94.demand;
+  grants = other94.grants;
+  exchange = other94.exchange;
+  configOffer = other94.configOffer;
+  configRequest = other94.configRequest;
+  load = other94.load;
+  listNews = other94.listNews;
+  __isset = other94.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other95) {
+  sender = other95.sender;
+  incarnation = other95.incarnation;
+  heartbeat = other95.heartbeat;
+  demand = other95.demand;
+  grants = other95.grants;
+  exchange = other95.exchange;
+  configOffer = other95.configOffer;
+  configRequest = other95.configRequest;
+  load = other95.load;
+  listNews = other95.listNews;
+  __isset = other95.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -3112,6 +3305,7 @@
   out << ", " << "configOffer="; (__isset.configOffer ? (out << to_string(configOffer)) : (out << "<null>"));
   out << ", " << "configRequest="; (__isset.configRequest ? (out << to_string(configRequest)) : (out << "<null>"));
   out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
+  out << ", " << "listNews="; (__isset.listNews ? (out << to_string(listNews)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/peer_types.h
+++ b/src/wire/gen/peer_types.h
@@ -53,6 +53,8 @@
 
 class LoadReport;
 
+class ListNews;
+
 class Envelope;
 
 typedef struct _DemandRow__isset {
@@ -1143,8 +1145,79 @@
 
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj);
 
+typedef struct _ListNews__isset {
+  _ListNews__isset() : sharedList(false), fromOffset(false), toOffset(false), reachable(false), batch(false) {}
+  bool sharedList :1;
+  bool fromOffset :1;
+  bool toOffset :1;
+  bool reachable :1;
+  bool batch :1;
+} _ListNews__isset;
+
+class ListNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  ListNews(const ListNews&);
+  ListNews& operator=(const ListNews&);
+  ListNews() noexcept
+           : sharedList(0),
+             fromOffset(0),
+             toOffset(0),
+             reachable(0),
+             batch() {
+  }
+
+  virtual ~ListNews() noexcept;
+  int32_t sharedList;
+  int64_t fromOffset;
+  int64_t toOffset;
+  bool reachable;
+  std::string batch;
+
+  _ListNews__isset __isset;
+
+  void __set_sharedList(const int32_t val);
+
+  void __set_fromOffset(const int64_t val);
+
+  void __set_toOffset(const int64_t val);
+
+  void __set_reachable(const bool val);
+
+  void __set_batch(const std::string& val);
+
+  bool operator == (const ListNews & rhs) const
+  {
+    if (!(sharedList == rhs.sharedList))
+      return false;
+    if (!(fromOffset == rhs.fromOffset))
+      return false;
+    if (!(toOffset == rhs.toOffset))
+      return false;
+    if (!(reachable == rhs.reachable))
+      return false;
+    if (!(batch == rhs.batch))
+      return false;
+    return true;
+  }
+  bool operator != (const ListNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ListNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ListNews &a, ListNews &b);
+
+std::ostream& operator<<(std::ostream& out, const ListNews& obj);
+
 typedef struct _Envelope__isset {
-  _Envelope__isset() : sender(false), incarnation(false), heartbeat(false), demand(false), grants(false), exchange(false), configOffer(false), configRequest(false), load(false) {}
+  _Envelope__isset() : sender(false), incarnation(false), heartbeat(false), demand(false), grants(false), exchange(false), configOffer(false), configRequest(false), load(false), listNews(false) {}
   bool sender :1;
   bool incarnation :1;
   bool heartbeat :1;
@@ -1154,6 +1227,7 @@
   bool configOffer :1;
   bool configRequest :1;
   bool load :1;
+  bool listNews :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
@@ -1176,6 +1250,7 @@
   ConfigOffer configOffer;
   ConfigRequest configRequest;
   LoadReport load;
+  ListNews listNews;
 
   _Envelope__isset __isset;
 
@@ -1197,6 +1272,8 @@
 
   void __set_load(const LoadReport& val);
 
+  void __set_listNews(const ListNews& val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -1231,6 +1308,10 @@
       return false;
     else if (__isset.load && !(load == rhs.load))
       return false;
+    if (__isset.listNews != rhs.__isset.listNews)
+      return false;
+    else if (__isset.listNews && !(listNews == rhs.listNews))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -125,6 +125,16 @@
   7: bool pressed
 }
 
+// What a read of a shared list at its source gave: the records from one offset
+// up to another, as the source encoded them.
+struct ListNews {
+  1: i32 sharedList
+  2: i64 fromOffset
+  3: i64 toOffset
+  4: bool reachable
+  5: binary batch
+}
+
 struct Envelope {
   1: i32 sender
   2: i64 incarnation
@@ -135,4 +145,5 @@
   7: optional ConfigOffer configOffer
   8: optional ConfigRequest configRequest
   9: optional LoadReport load
+  10: optional ListNews listNews
 }
