--- a/src/connection/caller_connection.cpp
+++ b/src/connection/caller_connection.cpp
@@ -155,8 +155,19 @@
   return 0;
 }
 
+auto CallerConnection::HasLeft() -> bool
+{
+  char byte = 0;
+  return recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 auto CallerConnection::StartRequest() -> void
 {
+  // A request that waited long in the kernel's queues may have no caller left.
+  if (HasLeft()) {
+    Close();
+    return;
+  }
   auto head = reader_->Head();
   auto body = reader_->TakeBody();
   endAfter_ = !reader_->keep_alive();
@@ -268,6 +279,11 @@
   return endAfter_ || port_->IsEnding();
 }
 
+auto CallerConnection::EndConnection() -> void
+{
+  endAfter_ = true;
+}
+
 auto CallerConnection::Write(std::string aBytes) -> void
 {
   if (outbound_.empty()) {
--- a/src/connection/caller_connection.h
+++ b/src/connection/caller_connection.h
@@ -74,6 +74,8 @@
   auto Flush() -> void;
   auto Parse() -> void;
   [[nodiscard]] auto CheckHead() const -> int;
+  /// Whether the caller has closed its side.
+  auto HasLeft() -> bool;
   auto StartRequest() -> void;
   auto RefuseMessage(int aStatus) -> void;
   auto Linger() -> void;
@@ -92,6 +94,7 @@
 
   [[nodiscard]] auto TakesChunks() const -> bool override;
   [[nodiscard]] auto EndsConnection() const -> bool override;
+  auto EndConnection() -> void override;
   auto Write(std::string aBytes) -> void override;
   auto Finish() -> void override;
   auto Abort() -> void override;
--- a/src/connection/exchange.cpp
+++ b/src/connection/exchange.cpp
@@ -82,9 +82,7 @@
   } else if (writer_->TakesChunks()) {
     AppendField(&text, "Transfer-Encoding", "chunked");
   }
-  if (writer_->EndsConnection()) {
-    AppendField(&text, "Connection", "close");
-  }
+  AppendConnection(&text);
   text += "\r\n";
   if (aWithLength) {
     text += gathered_;
@@ -92,6 +90,16 @@
   writer_->Write(std::move(text));
 }
 
+auto Exchange::AppendConnection(std::string* aText) -> void
+{
+  if (port_->Node().IsOverloaded()) {
+    writer_->EndConnection();
+  }
+  if (writer_->EndsConnection()) {
+    AppendField(aText, "Connection", "close");
+  }
+}
+
 auto Exchange::WriteChunk(std::string aBytes) -> void
 {
   if (!writer_->TakesChunks()) {
@@ -236,9 +244,7 @@
   }
   AppendField(&text, "Content-Type", "application/json");
   AppendField(&text, "Content-Length", std::to_string(body.size()));
-  if (writer_->EndsConnection()) {
-    AppendField(&text, "Connection", "close");
-  }
+  AppendConnection(&text);
   writer_->Write(text + "\r\n" + body);
   writer_->Finish();
 }
--- a/src/connection/exchange.h
+++ b/src/connection/exchange.h
@@ -55,6 +55,8 @@
   [[nodiscard]] virtual auto TakesChunks() const -> bool = 0;
   /// Whether the connection ends with this answer; its header then says so.
   [[nodiscard]] virtual auto EndsConnection() const -> bool = 0;
+  /// Ends the connection with this answer, so that the caller goes elsewhere.
+  virtual auto EndConnection() -> void = 0;
   virtual auto Write(std::string aBytes) -> void = 0;
   /// The answer is complete.
   virtual auto Finish() -> void = 0;
@@ -110,6 +112,8 @@
   [[nodiscard]] auto RequestText(const SendAttempt& aAttempt) const
     -> std::string;
   auto BeginAnswer(bool aWithLength) -> void;
+  /// Says whether the caller's connection ends with this answer.
+  auto AppendConnection(std::string* aText) -> void;
   auto WriteChunk(std::string aBytes) -> void;
   auto Forward(std::string aBytes) -> void;
   auto EndAnswer() -> void;
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -271,8 +271,9 @@
   return open_->load();
 }
 
-auto OpenAcceptor(tcp::acceptor* aAcceptor, const Endpoint& aEndpoint)
-  -> absl::Status
+auto OpenAcceptor(tcp::acceptor* aAcceptor,
+                  const Endpoint& aEndpoint,
+                  int aListenQueue) -> absl::Status
 {
   beast::error_code error;
   const auto address = asio::ip::make_address(aEndpoint.host_, error);
@@ -294,7 +295,7 @@
   if (error) {
     return fail("bind");
   }
-  aAcceptor->listen(asio::socket_base::max_listen_connections, error);
+  aAcceptor->listen(aListenQueue, error);
   return error ? fail("listen") : absl::OkStatus();
 }
 
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -107,8 +107,11 @@
 };
 
 /// Opens, binds and listens; the status names the address on failure.
-auto OpenAcceptor(boost::asio::ip::tcp::acceptor* aAcceptor,
-                  const Endpoint& aEndpoint) -> absl::Status;
+auto OpenAcceptor(
+  boost::asio::ip::tcp::acceptor* aAcceptor,
+  const Endpoint& aEndpoint,
+  int aListenQueue = boost::asio::socket_base::max_listen_connections)
+  -> absl::Status;
 
 /// The body of an error answer: {"error":{"code":...,"message":...}}.
 auto ErrorBody(const std::string& aCode, const std::string& aMessage)
--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -25,6 +25,15 @@
 /// Time before the end of the grace at which the process ends by itself.
 constexpr Duration kGraceMargin = 400ms;
 constexpr Duration kAcceptPause = 50ms;
+/// Datagrams that are taken in one turn, before others' work goes on.
+constexpr int kDatagramsInTurn = 64;
+/// Connections that are taken in one turn: few, so that under a flood the
+/// processor goes to what was taken on.
+constexpr int kConnectionsInTurn = 4;
+/// Connections that may wait to be taken. A caller that waits here is not seen
+/// to leave, so the queue must be short against the callers' aims; beyond it
+/// their systems try again.
+constexpr int kListenQueue = 128;
 /// Connections of callers that are served at once; the rest of the descriptors
 /// is for targets.
 constexpr std::size_t kMaxCallers = 3300;
@@ -44,57 +53,83 @@
 
 } // namespace
 
-auto ForwardingProcess::Accept() -> void
+auto ForwardingProcess::WaitForCallers() -> void
 {
-  acceptor_.async_accept([this](const boost::system::error_code& aError,
-                                asio::ip::tcp::socket aSocket) {
-    if (!acceptor_.is_open()) {
-      return;
+  acceptor_.async_wait(asio::socket_base::wait_read,
+                       [this](const boost::system::error_code& aError) {
+                         if (aError || !acceptor_.is_open()) {
+                           return;
+                         }
+                         if (Accept()) {
+                           WaitForCallers();
+                         }
+                       });
+}
+
+auto ForwardingProcess::Accept() -> bool
+{
+  for (int i = 0; i < kConnectionsInTurn; ++i) {
+    boost::system::error_code error;
+    asio::ip::tcp::socket socket(context_);
+    acceptor_.accept(socket, error);
+    if (error == asio::error::would_block) {
+      return true;
     }
-    if (aError) {
+    if (error) {
       // No descriptor is free: connections wait in the listen queue.
-      log_.Write("accept_failed", { { "reason", aError.message() } });
+      log_.Write("accept_failed", { { "reason", error.message() } });
       acceptPause_.expires_after(kAcceptPause);
       acceptPause_.async_wait([this](const boost::system::error_code& aStop) {
         if (!aStop) {
-          Accept();
+          WaitForCallers();
         }
       });
-      return;
+      return false;
     }
-    if (callers_.size() < kMaxCallers) {
-      auto caller = std::make_shared<CallerConnection>(
-        std::move(aSocket), this, [this](CallerConnection* aCaller) {
-          callers_.erase(aCaller->shared_from_this());
-        });
-      callers_.insert(caller);
-      caller->Start();
+    if (callers_.size() >= kMaxCallers) {
+      continue;
     }
-    Accept();
-  });
+    auto caller = std::make_shared<CallerConnection>(
+      std::move(socket), this, [this](CallerConnection* aCaller) {
+        callers_.erase(aCaller->shared_from_this());
+      });
+    callers_.insert(caller);
+    caller->Start();
+  }
+  return true;
 }
 
-auto ForwardingProcess::ReceiveDatagram() -> void
+auto ForwardingProcess::WaitForDatagrams() -> void
 {
-  datagram_.resize(kDatagramBytes);
-  peers_.async_receive_from(
-    asio::buffer(datagram_), sender_,
-    [this](const boost::system::error_code& aError, std::size_t aBytes) {
-      if (!peers_.is_open()) {
-        return;
-      }
-      if (!aError) {
-        const auto envelope =
-          wire::DecodeEnvelope({ datagram_.data(), aBytes });
-        if (envelope.ok()) {
-          node_.OnPeer(*envelope, BootNow());
-          Settle();
-        } else {
-          ++garbledDatagrams_;
-        }
-      }
-      ReceiveDatagram();
-    });
+  peers_.async_wait(asio::socket_base::wait_read,
+                    [this](const boost::system::error_code& aError) {
+                      if (aError || !peers_.is_open()) {
+                        return;
+                      }
+                      ReceiveDatagrams();
+                      WaitForDatagrams();
+                    });
+}
+
+auto ForwardingProcess::ReceiveDatagrams() -> void
+{
+  for (int i = 0; i < kDatagramsInTurn; ++i) {
+    boost::system::error_code error;
+    datagram_.resize(kDatagramBytes);
+    const auto bytes =
+      peers_.receive_from(asio::buffer(datagram_), sender_, 0, error);
+    if (error) {
+      // Nothing is left, or an earlier datagram could not be delivered.
+      break;
+    }
+    const auto envelope = wire::DecodeEnvelope({ datagram_.data(), bytes });
+    if (envelope.ok()) {
+      node_.OnPeer(*envelope, BootNow());
+    } else {
+      ++garbledDatagrams_;
+    }
+  }
+  Settle();
 }
 
 auto ForwardingProcess::WaitForSignal() -> void
@@ -122,14 +157,19 @@
 {
   const auto now = BootNow();
   const auto wake = std::min(node_.NextWake(now), now + kSweepInterval);
-  if (wakeAt_ > now && wakeAt_ <= wake) {
+  // A wait that is due already ends soon: putting it off would starve the ticks
+  // while there is much to do.
+  if (wakeAt_ > 0us && wakeAt_ <= wake) {
     return;
   }
   wakeAt_ = wake;
   tick_.expires_after(std::max<Duration>(wake - now, 1ms));
-  tick_.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError) {
+  tick_.async_wait([this, wake](const boost::system::error_code& aError) {
+    // A wait that was replaced too late to be cancelled is left to the new one.
+    if (!aError && wakeAt_ == wake) {
       wakeAt_ = {};
+      const auto now = BootNow();
+      node_.NoteLateness(now - wake, now);
       Tick();
     }
   });
@@ -162,6 +202,16 @@
     }
   }
   NoteReadiness();
+  static Instant dbg{};
+  if (aNow - dbg > 500ms) {
+    dbg = aNow;
+    log_.Write("DBG", { { "callers", (std::int64_t)callers_.size() },
+                        { "ex", (std::int64_t)exchanges_.size() },
+                        { "tg", (std::int64_t)targets_.OpenCount() },
+                        { "cpu_ms", (std::int64_t)clock() / 1000 },
+                        { "acpt_open", (std::int64_t)acceptor_.is_open() },
+                        { "arr", node_.Counters().arrived_ } });
+  }
   if (aNow - lastSettingsLook_ >= kSettingsInterval) {
     lastSettingsLook_ = aNow;
     LookAtSettings("file");
@@ -304,6 +354,7 @@
   add("retries_total", counters.retries_);
   add("resumes_total", counters.resumes_);
   add("stale_keys_total", counters.staleKeys_);
+  add("overload_refusals_total", counters.overloads_);
   add("requests_open", static_cast<std::int64_t>(node_.RequestCount()));
   add("requests_waiting",
       static_cast<std::int64_t>(node_.Work().WaitingCount()));
@@ -474,7 +525,7 @@
 
 auto ForwardingProcess::Listen() -> absl::Status
 {
-  auto status = OpenAcceptor(&acceptor_, settings_.callers_);
+  auto status = OpenAcceptor(&acceptor_, settings_.callers_, kListenQueue);
   if (!status.ok()) {
     return status;
   }
@@ -492,6 +543,7 @@
                   settings_.peers_.port_, error.message()));
   }
   peers_.non_blocking(true, error);
+  acceptor_.non_blocking(true, error);
   const std::vector<asio::io_context*> contexts{ &context_ };
   readyServer_ = std::make_unique<HttpServer>(
     contexts, HttpLimits{},
@@ -522,8 +574,8 @@
                           { "callers", settings_.callers_.host_ },
                           { "store", settings_.store_.address_.host_ } });
   WaitForSignal();
-  Accept();
-  ReceiveDatagram();
+  WaitForCallers();
+  WaitForDatagrams();
   source_.Start();
   ScheduleTick();
   context_.run();
--- a/src/main/forwarding_process.h
+++ b/src/main/forwarding_process.h
@@ -64,8 +64,11 @@
   std::int64_t peerBytesSent_ = 0;
   std::int64_t garbledDatagrams_ = 0;
 
-  auto Accept() -> void;
-  auto ReceiveDatagram() -> void;
+  auto WaitForCallers() -> void;
+  /// Takes the connections that wait; whether to wait for more at once.
+  auto Accept() -> bool;
+  auto WaitForDatagrams() -> void;
+  auto ReceiveDatagrams() -> void;
   auto WaitForSignal() -> void;
   auto ScheduleTick() -> void;
   auto Tick() -> void;
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -64,6 +64,11 @@
   if (request.route_ == nullptr) {
     return fresh ? kNotFound : kUnavailable;
   }
+  // The request is among the open ones already.
+  if (!capacity_.Admits(requests_.size() - 1)) {
+    ++counters_.overloads_;
+    return kUnavailable;
+  }
   if (turnsStreamsAway_ && request.route_->kind_ == RouteKind::kStream) {
     return kUnavailable;
   }
@@ -290,7 +295,8 @@
                              { "version", request->table_->Version() },
                              { "age_ms", ToMillis(aNow - config_.AsOf()) } });
     ++counters_.turnedAway_;
-    const auto soon = turnsStreamsAway_ ? kAtOnce : kSoon;
+    const bool othersCan = turnsStreamsAway_ || capacity_.IsOverloaded();
+    const auto soon = othersCan ? kAtOnce : kSoon;
     Refuse(request, refusal, useless ? 0us : soon,
            useless ? "not_allowed" : "not_known");
     return;
@@ -491,6 +497,19 @@
   peers_.OnPeer(aEnvelope, aNow);
 }
 
+auto ForwardingNode::NoteLateness(Duration aLateness, Instant aNow) -> void
+{
+  const bool wasOverloaded = capacity_.IsOverloaded();
+  capacity_.Note(aLateness, requests_.size(), aNow);
+  if (capacity_.IsOverloaded() != wasOverloaded) {
+    log_->Write(
+      wasOverloaded ? "overload_ended" : "overload_began",
+      { { "timer_late_ms", ToMillis(aLateness) },
+        { "requests_open", static_cast<std::int64_t>(requests_.size()) },
+        { "refused_so_far", counters_.overloads_ } });
+  }
+}
+
 auto ForwardingNode::Tick(Instant aNow) -> void
 {
   Expire(aNow);
@@ -535,7 +554,8 @@
 
 auto ForwardingNode::IsReady() const -> bool
 {
-  return !stopping_ && config_.IsKnown() && directory_.Size() > 0;
+  return !stopping_ && config_.IsKnown() && directory_.Size() > 0 &&
+         capacity_.TakesConnections();
 }
 
 auto ForwardingNode::IsStopping() const -> bool
@@ -543,6 +563,11 @@
   return stopping_;
 }
 
+auto ForwardingNode::IsOverloaded() const -> bool
+{
+  return capacity_.IsOverloaded();
+}
+
 auto ForwardingNode::RequestCount() const -> std::size_t
 {
   return requests_.size();
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -5,6 +5,7 @@
 #include "process/forwarding/dispatcher.h"
 #include "process/forwarding/event_log.h"
 #include "process/forwarding/forwarding_effects.h"
+#include "process/forwarding/own_capacity.h"
 #include "process/forwarding/peer_exchange.h"
 #include "process/forwarding/retry_allowance.h"
 #include "process/forwarding/target_directory.h"
@@ -62,6 +63,8 @@
   std::int64_t retries_ = 0;
   std::int64_t resumes_ = 0;
   std::int64_t staleKeys_ = 0;
+  /// Turned away as this router's own processor does not keep up.
+  std::int64_t overloads_ = 0;
 };
 
 /// All decisions of a router that passes requests on whole: which route and
@@ -101,6 +104,7 @@
   std::map<ServiceId, RetryAllowance> allowances_;
   ForwardingEffects effects_;
   PeerExchange peers_;
+  OwnCapacity capacity_;
   ForwardingCounters counters_;
   bool stopping_ = false;
   bool turnsStreamsAway_ = false;
@@ -176,6 +180,8 @@
                   std::optional<wire::ListNews> aNews,
                   Instant aNow) -> void;
 
+  /// The timer of a Tick ran so late.
+  auto NoteLateness(Duration aLateness, Instant aNow) -> void;
   /// Time has passed; call at least as often as NextWake says.
   auto Tick(Instant aNow) -> void;
   /// When Tick has something to do.
@@ -190,6 +196,8 @@
   /// Whether a balancer should send new connections here.
   [[nodiscard]] auto IsReady() const -> bool;
   [[nodiscard]] auto IsStopping() const -> bool;
+  /// Whether this router's own processor does not keep up.
+  [[nodiscard]] auto IsOverloaded() const -> bool;
   [[nodiscard]] auto RequestCount() const -> std::size_t;
   [[nodiscard]] auto Table() const -> const RouteTablePointer&;
   [[nodiscard]] auto ConfigAge(Instant aNow) const -> Duration;
