--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -33,7 +33,7 @@
 /// Connections that may wait to be taken. A caller that waits here is not seen
 /// to leave, so the queue must be short against the callers' aims; beyond it
 /// their systems try again.
-constexpr int kListenQueue = 128;
+constexpr int kListenQueue = 64;
 /// Connections of callers that are served at once; the rest of the descriptors
 /// is for targets.
 constexpr std::size_t kMaxCallers = 3300;
--- a/src/process/forwarding/own_capacity.cpp
+++ b/src/process/forwarding/own_capacity.cpp
@@ -23,6 +23,14 @@
   }
 }
 
+auto OwnCapacity::Reopen(Instant aNow) -> void
+{
+  if (closedSince_ && aNow - *closedSince_ >= kLongestClosed) {
+    closedSince_.reset();
+    closedUntil_ = aNow;
+  }
+}
+
 auto OwnCapacity::Note(Duration aLateness, std::size_t aOpen, Instant aNow)
   -> void
 {
@@ -37,6 +45,7 @@
     Close(aNow);
   }
   if (!overloaded_) {
+    Reopen(aNow);
     return;
   }
   Adjust(late, aOpen, aNow);
@@ -47,11 +56,7 @@
   if (isFree && aNow - lastLate_ >= kCalmTime) {
     overloaded_ = false;
   }
-  if (closedSince_ &&
-      (!overloaded_ || aNow - *closedSince_ >= kLongestClosed)) {
-    closedSince_.reset();
-    closedUntil_ = aNow;
-  }
+  Reopen(aNow);
 }
 
 auto OwnCapacity::Admits(std::size_t aOpen) const -> bool
--- a/src/process/forwarding/own_capacity.h
+++ b/src/process/forwarding/own_capacity.h
@@ -54,6 +54,7 @@
 
   auto Adjust(bool aLate, std::size_t aOpen, Instant aNow) -> void;
   auto Close(Instant aNow) -> void;
+  auto Reopen(Instant aNow) -> void;
 
 public:
   /// The timer ran so late, with so many requests open.
