--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -202,16 +202,6 @@
     }
   }
   NoteReadiness();
-  static Instant dbg{};
-  if (aNow - dbg > 500ms) {
-    dbg = aNow;
-    log_.Write("DBG", { { "callers", (std::int64_t)callers_.size() },
-                        { "ex", (std::int64_t)exchanges_.size() },
-                        { "tg", (std::int64_t)targets_.OpenCount() },
-                        { "cpu_ms", (std::int64_t)clock() / 1000 },
-                        { "acpt_open", (std::int64_t)acceptor_.is_open() },
-                        { "arr", node_.Counters().arrived_ } });
-  }
   if (aNow - lastSettingsLook_ >= kSettingsInterval) {
     lastSettingsLook_ = aNow;
     LookAtSettings("file");
