Read a heavy beginning at its four keepers only

A beginning of 1,500 tokens and more went to any idle engine when its keepers were full; each such reading costs 50 to 150 ms of an engine and is seldom used again there. Not yet: where all keepers are avoided.

--- a/src/process/forwarding/placement.cpp
+++ b/src/process/forwarding/placement.cpp
@@ -167,7 +167,7 @@
       limits.maxBacklog_ += kKeeperBacklog;
     } else if (heavy) {
       limits.maxBacklog_ =
-        std::min<Duration>(limits.maxBacklog_, kElsewhereBacklog);
+        std::min<Duration>(limits.maxBacklog_, Duration(-1));
     }
     auto candidate =
       WeighEngine(aItem, aService, aTargets[i], rank, limits, aNow);
