--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -24,6 +24,9 @@
 constexpr Duration kLameDuck = 2600ms;
 /// Time before the end of the grace at which the process ends by itself.
 constexpr Duration kGraceMargin = 400ms;
+/// Time before that in which nothing more is taken on, so that what plain
+/// services work on can end.
+constexpr Duration kLastCall = 1s;
 constexpr Duration kAcceptPause = 50ms;
 /// Datagrams that are taken in one turn, before others' work goes on.
 constexpr int kDatagramsInTurn = 64;
@@ -217,7 +220,9 @@
   if (stopping < kLameDuck) {
     return;
   }
-  node_.TurnAwayStreams();
+  const bool isLastCall =
+    stopping >= settings_.grace_ - kGraceMargin - kLastCall;
+  node_.SetIntake(isLastCall ? Intake::kNone : Intake::kNoStreams);
   const std::vector<std::shared_ptr<CallerConnection>> callers(callers_.begin(),
                                                                callers_.end());
   for (const auto& caller : callers) {
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -69,7 +69,8 @@
     ++counters_.overloads_;
     return kUnavailable;
   }
-  if (turnsStreamsAway_ && request.route_->kind_ == RouteKind::kStream) {
+  const bool isStream = request.route_->kind_ == RouteKind::kStream;
+  if (intake_ == Intake::kNone || (intake_ == Intake::kNoStreams && isStream)) {
     return kUnavailable;
   }
   if (request.route_->public_ || !table.HasAccounts()) {
@@ -295,7 +296,7 @@
                              { "version", request->table_->Version() },
                              { "age_ms", ToMillis(aNow - config_.AsOf()) } });
     ++counters_.turnedAway_;
-    const bool othersCan = turnsStreamsAway_ || capacity_.IsOverloaded();
+    const bool othersCan = intake_ != Intake::kAll || capacity_.IsOverloaded();
     const auto soon = othersCan ? kAtOnce : kSoon;
     Refuse(request, refusal, useless ? 0us : soon,
            useless ? "not_allowed" : "not_known");
@@ -542,9 +543,9 @@
   peers_.SetLeaving();
 }
 
-auto ForwardingNode::TurnAwayStreams() -> void
+auto ForwardingNode::SetIntake(Intake aIntake) -> void
 {
-  turnsStreamsAway_ = true;
+  intake_ = aIntake;
 }
 
 auto ForwardingNode::TakeEffects() -> ForwardingEffects
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -52,6 +52,15 @@
   kAnswering,
 };
 
+/// Which requests a router that stops still takes on: what might not end before
+/// the process does is turned away.
+enum class Intake
+{
+  kAll,
+  kNoStreams,
+  kNone,
+};
+
 /// Counts since the process started.
 struct ForwardingCounters
 {
@@ -107,7 +116,7 @@
   OwnCapacity capacity_;
   ForwardingCounters counters_;
   bool stopping_ = false;
-  bool turnsStreamsAway_ = false;
+  Intake intake_ = Intake::kAll;
 
   auto Find(RequestId aRequest) -> Request*;
   auto Erase(const Request& aRequest) -> void;
@@ -187,9 +196,8 @@
   /// When Tick has something to do.
   [[nodiscard]] auto NextWake(Instant aNow) const -> Instant;
   auto Stop() -> void;
-  /// From now on, streams that arrive are turned away: they might not end
-  /// before the process does.
-  auto TurnAwayStreams() -> void;
+  /// Which requests are taken on from now on.
+  auto SetIntake(Intake aIntake) -> void;
 
   auto TakeEffects() -> ForwardingEffects;
 
--- a/src/process/forwarding/own_capacity.cpp
+++ b/src/process/forwarding/own_capacity.cpp
@@ -18,7 +18,8 @@
 
 auto OwnCapacity::Close(Instant aNow) -> void
 {
-  if (!closedSince_ && aNow >= closedUntil_ + kLeastOpenTime) {
+  if (!closedSince_ &&
+      (!reopenedAt_ || aNow >= *reopenedAt_ + kLeastOpenTime)) {
     closedSince_ = aNow;
   }
 }
@@ -27,7 +28,7 @@
 {
   if (closedSince_ && aNow - *closedSince_ >= kLongestClosed) {
     closedSince_.reset();
-    closedUntil_ = aNow;
+    reopenedAt_ = aNow;
   }
 }
 
--- a/src/process/forwarding/own_capacity.h
+++ b/src/process/forwarding/own_capacity.h
@@ -50,7 +50,7 @@
   Instant lastAdjusted_{};
   double mostOpen_ = 0;
   std::optional<Instant> closedSince_;
-  Instant closedUntil_{};
+  std::optional<Instant> reopenedAt_;
 
   auto Adjust(bool aLate, std::size_t aOpen, Instant aNow) -> void;
   auto Close(Instant aNow) -> void;
--- a/src/process/forwarding/placement.cpp
+++ b/src/process/forwarding/placement.cpp
@@ -156,10 +156,16 @@
                              const PlaceLimits& aLimits,
                              Instant aNow) const -> std::optional<Candidate>
 {
+  const auto places = MayTake(aItem, aTargets, aNow);
   const auto keepers = FindKeepers(aItem, aTargets, kKeepers);
+  const auto isOpen = [&](std::size_t aPlace) {
+    return std::find(places.begin(), places.end(), aPlace) != places.end();
+  };
   const bool heavy = SharedTokens(aItem) >= kHeavyTokens;
+  const bool staysAtKeepers =
+    heavy && std::any_of(keepers.begin(), keepers.end(), isOpen);
   std::optional<Candidate> best;
-  for (const auto i : MayTake(aItem, aTargets, aNow)) {
+  for (const auto i : places) {
     const auto rank = static_cast<std::size_t>(
       std::find(keepers.begin(), keepers.end(), i) - keepers.begin());
     auto limits = aLimits;
@@ -167,10 +173,13 @@
       limits.maxBacklog_ += kKeeperBacklog;
     } else if (heavy) {
       limits.maxBacklog_ =
-        std::min<Duration>(limits.maxBacklog_, Duration(-1));
+        std::min<Duration>(limits.maxBacklog_, kSpillBacklog);
     }
     auto candidate =
       WeighEngine(aItem, aService, aTargets[i], rank, limits, aNow);
+    if (staysAtKeepers && rank >= kKeepers) {
+      candidate.fits_ = false;
+    }
     if (!best || IsBetter(candidate, *best)) {
       best = candidate;
     }
--- a/tests/process/forwarding/dispatcher_test.cpp
+++ b/tests/process/forwarding/dispatcher_test.cpp
@@ -205,6 +205,43 @@
   EXPECT_FALSE(dispatcher_->Loads().Find(first)->IsAvoided(1300ms));
 }
 
+/// Load pattern: all targets of a service fail for a moment.
+TEST_F(DispatcherTest,
+       WhereAllTargetsFailedTheOneWhoseAvoidanceEndsFirstIsTried)
+{
+  SetUpPool(2, 4, false);
+  dispatcher_->Submit(MakeItem("a", 0, 10, 0, 1s), 1s);
+  const auto first = TakeStarts().at(1);
+  dispatcher_->OnRunEnd(1, RunEnd::kFailed, 1s);
+  dispatcher_->Submit(MakeItem("a", 0, 10, 0, 1s), 1s + 100ms);
+  dispatcher_->OnRunEnd(2, RunEnd::kFailed, 1s + 100ms);
+  TakeStarts();
+  dispatcher_->Submit(MakeItem("a", 0, 10, 0, 1s), 1s + 110ms);
+  EXPECT_EQ(TakeStarts().at(3), first);
+}
+
+/// Load pattern: a heavy beginning gets more traffic than its keepers can read.
+TEST_F(DispatcherTest, HeavyBeginningIsReadAtItsKeepersOnly)
+{
+  SetUpPool(12, 12, true);
+  std::set<TargetId> used;
+  for (int i = 0; i < 200; ++i) {
+    dispatcher_->Submit(MakeItem("a", 5000, 1000, 7, 1s), 1s);
+    for (const auto& start : TakeStarts()) {
+      used.insert(start.second);
+    }
+  }
+  EXPECT_LE(used.size(), 4U);
+  // Where its keepers fail, others read it.
+  for (RequestId request = 1; request <= 200; ++request) {
+    dispatcher_->OnRunEnd(request, RunEnd::kFailed, 1s);
+  }
+  dispatcher_->Submit(MakeItem("a", 5000, 1000, 7, 1s), 1s);
+  const auto starts = TakeStarts();
+  ASSERT_EQ(starts.size(), 1U);
+  EXPECT_FALSE(used.contains(starts.begin()->second));
+}
+
 TEST_F(DispatcherTest, TriedTargetIsNotUsedAgain)
 {
   SetUpPool(1, 4, false);
--- a/tests/process/forwarding/forwarding_node_test.cpp
+++ b/tests/process/forwarding/forwarding_node_test.cpp
@@ -292,11 +292,74 @@
   EXPECT_FALSE(node_->IsReady());
   Arrive("talk", "key-a", 2s);
   EXPECT_TRUE(Take<SendAttempt>());
-  node_->TurnAwayStreams();
+  node_->SetIntake(Intake::kNoStreams);
   Arrive("talk", "key-a", 3s);
   EXPECT_EQ(Take<RefuseCaller>()->status_, 503);
   Arrive("write", "", 3s);
   EXPECT_TRUE(Take<SendAttempt>());
+  // What would be cut by the end of the process is not begun.
+  node_->SetIntake(Intake::kNone);
+  Arrive("write", "", 4s);
+  EXPECT_EQ(Take<RefuseCaller>()->status_, 503);
+}
+
+/// Load pattern: callers of one account flood a small router.
+TEST_F(ForwardingNodeTest, RouterWhoseTimerRunsLateRefusesAtOnce)
+{
+  MakeReady(1s);
+  for (int i = 0; i < 8; ++i) {
+    Arrive("write", "", 1s);
+  }
+  for (int i = 0; i < 4; ++i) {
+    node_->NoteLateness(200ms, 1s + i * 200ms);
+  }
+  EXPECT_TRUE(node_->IsOverloaded());
+  EXPECT_FALSE(node_->IsReady());
+  node_->TakeEffects();
+  Arrive("write", "", 2s);
+  const auto refusal = Take<RefuseCaller>();
+  ASSERT_TRUE(refusal);
+  EXPECT_EQ(refusal->status_, 503);
+  // Another router can serve the caller at once.
+  EXPECT_LE(refusal->retryAfter_, 100ms);
+}
+
+TEST_F(ForwardingNodeTest, NewsOfAListGoesToTheRoutersOfItsZone)
+{
+  MakeReady(1s);
+  RouterAddress near;
+  near.id_ = MakeId<RouterId>("router-2");
+  near.zone_ = MakeId<ZoneId>("near");
+  near.host_ = "10.0.0.2";
+  RouterAddress far = near;
+  far.id_ = MakeId<RouterId>("router-3");
+  far.zone_ = MakeId<ZoneId>("far");
+  far.host_ = "10.0.0.3";
+  node_->OnRouters({ near, far }, 1s);
+  node_->TakeEffects();
+  wire::ListNews news;
+  news.sharedList = static_cast<std::int32_t>(SharedList::kTargets);
+  news.reachable = true;
+  news.toOffset = 7;
+  node_->OnListRead(SharedList::kTargets, true, news, 1s);
+  const auto sent = Take<SendToRouters>();
+  ASSERT_TRUE(sent);
+  ASSERT_EQ(sent->routers_.size(), 1U);
+  EXPECT_EQ(sent->routers_[0].host_, "10.0.0.2");
+  EXPECT_EQ(sent->envelope_.listNews.toOffset, 7);
+}
+
+TEST_F(ForwardingNodeTest, NewsOfAPeerIsTakenAndOfAnUnknownListIsSkipped)
+{
+  wire::Envelope envelope;
+  envelope.__isset.listNews = true;
+  envelope.listNews.sharedList =
+    static_cast<std::int32_t>(SharedList::kRouters);
+  node_->OnPeer(envelope, 1s);
+  EXPECT_TRUE(Take<TakeListNews>());
+  envelope.listNews.sharedList = 99;
+  node_->OnPeer(envelope, 1s);
+  EXPECT_FALSE(Take<TakeListNews>());
 }
 
 } // namespace
