--- a/src/process/forwarding/placement.cpp
+++ b/src/process/forwarding/placement.cpp
@@ -169,11 +169,11 @@
     const auto rank = static_cast<std::size_t>(
       std::find(keepers.begin(), keepers.end(), i) - keepers.begin());
     auto limits = aLimits;
-    if (heavy && rank < 2) {
+    if (heavy && rank < kKeepers) {
       limits.maxBacklog_ += kKeeperBacklog;
     } else if (heavy) {
       limits.maxBacklog_ =
-        std::min<Duration>(limits.maxBacklog_, kSpillBacklog);
+        std::min<Duration>(limits.maxBacklog_, kElsewhereBacklog);
     }
     auto candidate =
       WeighEngine(aItem, aService, aTargets[i], rank, limits, aNow);
--- a/src/process/forwarding/placement.h
+++ b/src/process/forwarding/placement.h
@@ -93,10 +93,9 @@
   static constexpr std::size_t kKeepers = 2;
   static constexpr Duration kRankPenalty = 40ms;
   /// A shared beginning of this many tokens is read at its keepers only, while
-  /// one of them may be used; at the later ones only where next to nothing
-  /// waits.
+  /// one of them may be used; otherwise only where next to nothing waits.
   static constexpr int kHeavyTokens = 1500;
-  static constexpr Duration kSpillBacklog = 30ms;
+  static constexpr Duration kElsewhereBacklog = 30ms;
   /// What may wait more at a keeper of a heavy beginning than elsewhere.
   static constexpr Duration kKeeperBacklog = 120ms;
   /// Part of an engine's memory that running requests may fill.
