--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -173,6 +173,7 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::vector<char*> arguments{ const_cast<char*>(options_.program_.c_str()),
                                 const_cast<char*>("forward"),
                                 const_cast<char*>(flag.c_str()), nullptr };
@@ -190,7 +191,10 @@
   if (router.process_ <= 0) {
     return;
   }
-  router.paused_ = aSignal == SIGSTOP;
+  // Other signals wait until a paused process goes on.
+  if (aSignal == SIGSTOP || aSignal == SIGCONT || aSignal == SIGKILL) {
+    router.paused_ = aSignal == SIGSTOP;
+  }
   kill(router.process_, aSignal);
   if (aSignal == SIGKILL) {
     waitpid(router.process_, nullptr, 0);
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -45,6 +45,7 @@
   {
     if (verbose_) {
       fmt::print("  {}\n", aWhat);
+      std::fflush(stdout);
     }
   }
 
