Say in one line why a request was refused

A request that was turned away wrote two lines, and one refused on arrival no reason: a flooded router's refusals could not be told from those without a configuration. ArrivalVerdict with a table of names, statuses and times.

--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -1,6 +1,7 @@
 #include "process/forwarding/forwarding_node.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace burdockring {
@@ -27,6 +28,33 @@
 /// Output that is assumed where the caller gives no estimate, in tokens.
 constexpr int kDefaultOutputTokens = 64;
 
+/// What a refusal on arrival says.
+struct VerdictRow
+{
+  ArrivalVerdict verdict_;
+  std::string_view name_;
+  int status_;
+  Duration retryAfter_;
+};
+
+constexpr std::array kVerdictTable{
+  VerdictRow{ ArrivalVerdict::kTaken, "taken", 0, 0us },
+  VerdictRow{ ArrivalVerdict::kNoConfiguration, "no_configuration",
+              kUnavailable, kSoon },
+  VerdictRow{ ArrivalVerdict::kStale, "stale_configuration", kUnavailable,
+              kSoon },
+  VerdictRow{ ArrivalVerdict::kNoRoute, "no_route", kNotFound, 0us },
+  VerdictRow{ ArrivalVerdict::kUnknownKey, "unknown_key", kUnauthorized, 0us },
+  VerdictRow{ ArrivalVerdict::kOverloaded, "overloaded", kUnavailable,
+              kAtOnce },
+  VerdictRow{ ArrivalVerdict::kStopping, "stopping", kUnavailable, kAtOnce },
+};
+
+auto VerdictRowOf(ArrivalVerdict aVerdict) -> const VerdictRow&
+{
+  return kVerdictTable.at(static_cast<std::size_t>(aVerdict));
+}
+
 auto ToMillis(Duration aDuration) -> std::int64_t
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
@@ -48,49 +76,71 @@
   requests_.erase(id);
 }
 
-auto ForwardingNode::CheckArrival(Request* aRequest, Instant aNow) -> int
+auto ForwardingNode::CheckRoute(Request* aRequest) -> ArrivalVerdict
 {
   auto& request = *aRequest;
-  const auto& table = *request.table_;
   if (!config_.IsKnown()) {
-    return kUnavailable;
+    return ArrivalVerdict::kNoConfiguration;
   }
   request.route_ =
-    table.FindRoute(request.arrival_.host_, request.arrival_.target_);
-  // A newer version may have what this one lacks, so "not there" also needs
-  // knowledge that is fresh.
-  const bool fresh = config_.IsFresh(request.arrival_.received_,
-                                     options_.keyFreshness_ - kFreshnessMargin);
+    request.table_->FindRoute(request.arrival_.host_, request.arrival_.target_);
   if (request.route_ == nullptr) {
-    return fresh ? kNotFound : kUnavailable;
+    // A newer version may have what this one lacks, so "not there" also needs
+    // knowledge that is fresh.
+    return IsFresh(request) ? ArrivalVerdict::kNoRoute : ArrivalVerdict::kStale;
   }
   // The request is among the open ones already.
   if (!capacity_.Admits(requests_.size() - 1)) {
     ++counters_.overloads_;
-    return kUnavailable;
+    return ArrivalVerdict::kOverloaded;
   }
   const bool isStream = request.route_->kind_ == RouteKind::kStream;
   if (intake_ == Intake::kNone || (intake_ == Intake::kNoStreams && isStream)) {
-    return kUnavailable;
+    return ArrivalVerdict::kStopping;
   }
+  return ArrivalVerdict::kTaken;
+}
+
+auto ForwardingNode::CheckKey(Request* aRequest) -> ArrivalVerdict
+{
+  auto& request = *aRequest;
+  const auto& table = *request.table_;
   if (request.route_->public_ || !table.HasAccounts()) {
-    return 0;
+    return ArrivalVerdict::kTaken;
   }
-  if (!fresh) {
+  if (!IsFresh(request)) {
     ++counters_.staleKeys_;
-    log_->Write("stale_configuration",
-                { { "request", request.arrival_.facts_.attemptId_ },
-                  { "version", table.Version() },
-                  { "age_ms", ToMillis(aNow - config_.AsOf()) } });
-    return kUnavailable;
+    return ArrivalVerdict::kStale;
   }
   const auto* account = table.FindAccount(request.arrival_.facts_.key_);
   if (account == nullptr) {
-    return kUnauthorized;
+    return ArrivalVerdict::kUnknownKey;
   }
   request.account_ = account->name_;
   request.item_.account_ = account->id_;
-  return 0;
+  return ArrivalVerdict::kTaken;
+}
+
+auto ForwardingNode::IsFresh(const Request& aRequest) const -> bool
+{
+  return config_.IsFresh(aRequest.arrival_.received_,
+                         options_.keyFreshness_ - kFreshnessMargin);
+}
+
+auto ForwardingNode::RefuseArrival(Request* aRequest,
+                                   ArrivalVerdict aVerdict,
+                                   Instant aNow) -> void
+{
+  const auto& row = VerdictRowOf(aVerdict);
+  log_->Write("refused",
+              { { "request", aRequest->arrival_.facts_.attemptId_ },
+                { "reason", row.name_ },
+                { "status", std::int64_t{ row.status_ } },
+                { "version", aRequest->table_->Version() },
+                { "age_ms", ToMillis(aNow - config_.AsOf()) },
+                { "open", static_cast<std::int64_t>(requests_.size() - 1) } });
+  ++counters_.turnedAway_;
+  Refuse(aRequest, row.status_, row.retryAfter_, row.name_);
 }
 
 auto ForwardingNode::FillItem(Request* aRequest) const -> void
@@ -144,23 +194,34 @@
   Erase(*aRequest);
 }
 
-auto ForwardingNode::GiveUp(Request* aRequest,
-                            Duration aRetryAfter,
-                            std::string_view aCode) -> void
+auto ForwardingNode::End(Request* aRequest,
+                         Duration aRetryAfter,
+                         std::string_view aCode) -> int
 {
   const bool notRun = aRequest->machine_.GiveUpState() == RunState::kNotRun;
   ++(notRun ? counters_.turnedAway_ : counters_.unknown_);
   const int status = notRun                 ? kUnavailable
                      : aCode == "timed_out" ? kGatewayTimeout
                                             : kBadGateway;
-  log_->Write("given_up",
-              { { "request", aRequest->arrival_.facts_.attemptId_ },
-                { "code", aCode },
-                { "status", std::int64_t{ status } },
-                { "state", RequestStateName(aRequest->machine_.State()) },
-                { "attempts", std::int64_t{ aRequest->sentAttempts_ } },
-                { "version", aRequest->table_->Version() } });
   Refuse(aRequest, status, notRun ? aRetryAfter : 0us, aCode);
+  return status;
+}
+
+auto ForwardingNode::GiveUp(Request* aRequest,
+                            Duration aRetryAfter,
+                            std::string_view aCode) -> void
+{
+  const auto attemptId = aRequest->arrival_.facts_.attemptId_;
+  const auto state = RequestStateName(aRequest->machine_.State());
+  const std::int64_t attempts = aRequest->sentAttempts_;
+  const auto version = aRequest->table_->Version();
+  const int status = End(aRequest, aRetryAfter, aCode);
+  log_->Write("given_up", { { "request", attemptId },
+                            { "code", aCode },
+                            { "status", std::int64_t{ status } },
+                            { "state", state },
+                            { "attempts", attempts },
+                            { "version", version } });
 }
 
 auto ForwardingNode::StopRun(Request* aRequest, Instant aNow) -> void
@@ -230,16 +291,25 @@
   if (request == nullptr) {
     return;
   }
+  const auto attemptId = request->arrival_.facts_.attemptId_;
+  const auto route = request->route_->name_;
+  const auto account = request->account_;
+  const auto waited = aNow - request->arrival_.received_;
+  const std::int64_t attempts = request->sentAttempts_;
+  const auto version = request->table_->Version();
+  const auto reason = RejectReasonName(aVerdict.reason_);
+  const int status = End(request, aVerdict.retryAfter_, reason);
   log_->Write("turned_away",
-              { { "request", request->arrival_.facts_.attemptId_ },
-                { "reason", RejectReasonName(aVerdict.reason_) },
-                { "route", request->route_->name_ },
-                { "account", request->account_ },
+              { { "request", attemptId },
+                { "reason", reason },
+                { "status", std::int64_t{ status } },
+                { "route", route },
+                { "account", account },
                 { "expected_ms", ToMillis(aVerdict.expectedWait_) },
-                { "waited_ms", ToMillis(aNow - request->arrival_.received_) },
+                { "waited_ms", ToMillis(waited) },
                 { "retry_after_ms", ToMillis(aVerdict.retryAfter_) },
-                { "version", request->table_->Version() } });
-  GiveUp(request, aVerdict.retryAfter_, RejectReasonName(aVerdict.reason_));
+                { "attempts", attempts },
+                { "version", version } });
 }
 
 auto ForwardingNode::Expire(Instant aNow) -> void
@@ -288,18 +358,12 @@
   request->arrival_ = std::move(aArrival);
   request->table_ = config_.Table();
   requests_[id] = std::move(owned);
-  const int refusal = CheckArrival(request, aNow);
-  if (refusal != 0) {
-    const bool useless = refusal != kUnavailable;
-    log_->Write("refused", { { "request", request->arrival_.facts_.attemptId_ },
-                             { "status", std::int64_t{ refusal } },
-                             { "version", request->table_->Version() },
-                             { "age_ms", ToMillis(aNow - config_.AsOf()) } });
-    ++counters_.turnedAway_;
-    const bool othersCan = intake_ != Intake::kAll || capacity_.IsOverloaded();
-    const auto soon = othersCan ? kAtOnce : kSoon;
-    Refuse(request, refusal, useless ? 0us : soon,
-           useless ? "not_allowed" : "not_known");
+  auto verdict = CheckRoute(request);
+  if (verdict == ArrivalVerdict::kTaken) {
+    verdict = CheckKey(request);
+  }
+  if (verdict != ArrivalVerdict::kTaken) {
+    RefuseArrival(request, verdict, aNow);
     return;
   }
   const auto& facts = request->arrival_.facts_;
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -61,6 +61,20 @@
   kNone,
 };
 
+/// What becomes of a request before it is queued.
+enum class ArrivalVerdict
+{
+  kTaken,
+  kNoConfiguration,
+  /// The configuration is too old to judge keys or missing routes by.
+  kStale,
+  kNoRoute,
+  kUnknownKey,
+  /// This router's processor does not keep up.
+  kOverloaded,
+  kStopping,
+};
+
 /// Counts since the process started.
 struct ForwardingCounters
 {
@@ -120,9 +134,14 @@
 
   auto Find(RequestId aRequest) -> Request*;
   auto Erase(const Request& aRequest) -> void;
-  /// The status that the request must be refused with before it is queued; 0:
-  /// none.
-  auto CheckArrival(Request* aRequest, Instant aNow) -> int;
+  /// Finds the request's route and whether this router takes it on.
+  auto CheckRoute(Request* aRequest) -> ArrivalVerdict;
+  /// Finds the account, where the route needs a key.
+  auto CheckKey(Request* aRequest) -> ArrivalVerdict;
+  /// Whether the configuration is fresh enough to say what is not allowed.
+  [[nodiscard]] auto IsFresh(const Request& aRequest) const -> bool;
+  auto RefuseArrival(Request* aRequest, ArrivalVerdict aVerdict, Instant aNow)
+    -> void;
   auto FillItem(Request* aRequest) const -> void;
   [[nodiscard]] static auto ChooseService(const RouteObject& aRoute,
                                           const std::string& aAttemptId)
@@ -131,6 +150,9 @@
               int aStatus,
               Duration aRetryAfter,
               std::string_view aCode) -> void;
+  /// Ends a request; the status tells whether it surely did not run.
+  auto End(Request* aRequest, Duration aRetryAfter, std::string_view aCode)
+    -> int;
   /// Ends a request whose run is no longer possible or is not known.
   auto GiveUp(Request* aRequest, Duration aRetryAfter, std::string_view aCode)
     -> void;
