Name a route's prefix in the project's words

Cause: pathPrefix_ in version/route_table is a name of the platform's wire, in src, where it must not be; the word list of check_style lacked it. Ruled out: a second field for the adapter, as the decoded one says all.

--- a/src/version/route_table.cpp
+++ b/src/version/route_table.cpp
@@ -25,7 +25,7 @@
   }
   const auto path = aPath.substr(0, aPath.find('?'));
   for (const auto& route : found->second) {
-    if (path.starts_with(route.pathPrefix_)) {
+    if (path.starts_with(route.prefix_)) {
       return &route;
     }
   }
@@ -129,8 +129,7 @@
   for (auto& entry : table_.routes_) {
     std::stable_sort(entry.second.begin(), entry.second.end(),
                      [](const RouteObject& aLeft, const RouteObject& aRight) {
-                       return aLeft.pathPrefix_.size() >
-                              aRight.pathPrefix_.size();
+                       return aLeft.prefix_.size() > aRight.prefix_.size();
                      });
   }
   return std::make_shared<const RouteTable>(std::move(table_));
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -36,7 +36,7 @@
   std::string name_;
   std::string host_;
   /// Begins and ends with a slash.
-  std::string pathPrefix_;
+  std::string prefix_;
   RouteKind kind_ = RouteKind::kUnsafe;
   /// Longest time from a request's arrival to its last byte.
   Duration timeout_{};
--- a/tests/support/forwarding_fixture.h
+++ b/tests/support/forwarding_fixture.h
@@ -43,7 +43,7 @@
   RouteObject route;
   route.name_ = aName;
   route.host_ = "h";
-  route.pathPrefix_ = "/" + aName + "/";
+  route.prefix_ = "/" + aName + "/";
   route.kind_ = aKind;
   route.timeout_ = 15s;
   route.aim_ = 300ms;
