Close a listener on the thread of its accepts

Cause: HttpServer::Close was called on the control thread while the loop of accepts ran on a traffic thread; closing frees the descriptor's state that a new accept is just reading. Ruled out: braces in awaited calls (one was left and is gone, but the crash came in a test that never takes that path), the log (built thread safe). Change: Close is posted to the acceptor's executor.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -68,8 +69,9 @@
       const bool idle = error == beast::error::timeout && !parser.got_some();
       if (failure.status_ != 0 && !idle) {
         HttpResponder responder(&stream, aLimits.writeTimeout_, false);
-        co_await responder.Whole(failure.status_, kJsonType,
-                                 ErrorBody(failure.code_, error.message()), {});
+        auto body = ErrorBody(failure.code_, error.message());
+        co_await responder.Whole(failure.status_, kJsonType, std::move(body),
+                                 HttpFields());
       }
       break;
     }
@@ -262,8 +264,12 @@
 
 auto HttpServer::Close() -> void
 {
-  beast::error_code ignored;
-  acceptor_.close(ignored);
+  // The loop of accepts runs on the acceptor's own thread, and sockets may not
+  // be used by two threads at once.
+  asio::post(acceptor_.get_executor(), [this] {
+    beast::error_code ignored;
+    acceptor_.close(ignored);
+  });
 }
 
 auto HttpServer::OpenConnections() const -> int
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -101,7 +101,8 @@
              HttpHandler aHandler);
 
   auto Listen(const Endpoint& aEndpoint) -> absl::Status;
-  /// Stops accepting; open connections go on.
+  /// Stops accepting; open connections go on. May be called from any thread;
+  /// the server must outlive the threads of its contexts.
   auto Close() -> void;
   [[nodiscard]] auto OpenConnections() const -> int;
 };
