Run the platform's path as processes: stand-ins, demo, relay benchmark

Cause: the demo showed the own interface only, the stand-ins of the platform's store and targets stood in the tests, and starting a process, settings texts and answers stood three times (forward test, soak, each by hand).

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 
 bench: build
 	$(BUILD)/bench/burdockring_bench
+	$(BUILD)/bench/burdockring_forwarding_bench
 
 clean:
 	rm -rf $(BUILD)
--- a/src/connection/caller_connection.cpp
+++ b/src/connection/caller_connection.cpp
@@ -1,12 +1,12 @@
 #include "connection/caller_connection.h"
 
+#include "adapter/tcp_options.h"
 #include "base/boot_clock.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <fmt/format.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -23,8 +23,8 @@
 
 /// How long a connection whose last answer is out waits for the caller's end.
 constexpr Duration kLingerTime = 1s;
-/// Longest time without an acknowledgement from the caller's side, in ms.
-constexpr int kUserTimeoutMs = 5000;
+/// Longest time without an acknowledgement from the caller's side.
+constexpr Duration kUserTimeout = 5s;
 
 auto StatusOf(const boost::system::error_code& aError) -> int
 {
@@ -231,10 +231,7 @@
 
 auto CallerConnection::Start() -> void
 {
-  boost::system::error_code ignored;
-  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-  setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-             &kUserTimeoutMs, sizeof(kUserTimeoutMs));
+  SetTcpOptions(&socket_, { kUserTimeout });
   Read();
 }
 
@@ -323,9 +320,4 @@
   Close();
 }
 
-auto CallerConnection::IsBusy() const -> bool
-{
-  return exchange_ != nullptr || requestSince_.has_value();
-}
-
 } // namespace burdockring
--- a/src/connection/caller_connection.h
+++ b/src/connection/caller_connection.h
@@ -98,8 +98,6 @@
   auto Write(std::string aBytes) -> void override;
   auto Finish() -> void override;
   auto Abort() -> void override;
-
-  [[nodiscard]] auto IsBusy() const -> bool;
 };
 
 } // namespace burdockring
--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -1,5 +1,6 @@
 #include "connection/target_connection.h"
 
+#include "adapter/tcp_options.h"
 #include "base/boot_clock.h"
 
 #include <algorithm>
@@ -7,8 +8,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 namespace burdockring {
 namespace {
@@ -22,12 +21,10 @@
 constexpr Duration kDefaultIdleLife = 2s;
 /// Part of the target's own idle time-out that a connection is used within.
 constexpr double kIdlePart = 0.5;
-/// Longest time without an acknowledgement from the target's VM, in ms.
-constexpr int kUserTimeoutMs = 1500;
-/// Time without traffic until the target's VM is asked for one, in seconds.
-constexpr int kKeepAliveIdleS = 1;
-constexpr int kKeepAliveIntervalS = 1;
-constexpr int kKeepAliveProbes = 2;
+/// Longest time without an acknowledgement from the target's VM.
+constexpr Duration kUserTimeout = 1500ms;
+/// Time without traffic until the target's VM is asked for a sign of life.
+constexpr Duration kKeepAlive = 1s;
 constexpr int kFirstFinalStatus = 200;
 
 auto KeepAliveTimeout(const HttpFields& aFields) -> std::optional<Duration>
@@ -49,21 +46,6 @@
 
 } // namespace
 
-auto TargetConnection::SetOptions() -> void
-{
-  boost::system::error_code ignored;
-  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-  socket_.set_option(asio::socket_base::keep_alive(true), ignored);
-  const int handle = socket_.native_handle();
-  const auto set = [&](int aName, int aValue) {
-    setsockopt(handle, IPPROTO_TCP, aName, &aValue, sizeof(aValue));
-  };
-  set(TCP_USER_TIMEOUT, kUserTimeoutMs);
-  set(TCP_KEEPIDLE, kKeepAliveIdleS);
-  set(TCP_KEEPINTVL, kKeepAliveIntervalS);
-  set(TCP_KEEPCNT, kKeepAliveProbes);
-}
-
 auto TargetConnection::Read() -> void
 {
   if (reading_ || paused_ || state_ == State::kClosed) {
@@ -247,7 +229,7 @@
     });
     return;
   }
-  SetOptions();
+  SetTcpOptions(&socket_, { kUserTimeout, kKeepAlive });
   socket_.async_connect(
     { address, endpoint_.port_ },
     [self = shared_from_this()](const boost::system::error_code& aError) {
--- a/src/connection/target_connection.h
+++ b/src/connection/target_connection.h
@@ -90,7 +90,6 @@
   auto OnMessageEnd() -> void;
   auto OnConnectionEnd(const boost::system::error_code& aError) -> void;
   auto Break(std::string_view aCause) -> void;
-  auto SetOptions() -> void;
 
 public:
   TargetConnection(boost::asio::io_context* aContext,
--- a/src/main/command_demo.cpp
+++ b/src/main/command_demo.cpp
@@ -3,6 +3,7 @@
 #include "main/flags.h"
 #include "main/load_driver.h"
 #include "main/log_lines.h"
+#include "main/process_demo.h"
 #include "version/config_reader.h"
 
 #include "absl/strings/str_format.h"
@@ -10,6 +11,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <chrono>
 #include <csignal>
+#include <filesystem>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -130,10 +132,37 @@
     aLayout.EngineService(), router.operators_.host_, router.operators_.port_);
 }
 
+auto RunProcessDemo() -> ExitCode
+{
+  namespace fs = std::filesystem;
+  ProcessDemoOptions options;
+  options.fleet_.program_ = fs::read_symlink("/proc/self/exe").string();
+  options.fleet_.folder_ =
+    absl::StrFormat("%s/burdockring-demo-%d",
+                    fs::temp_directory_path().string(), FLAGS_base_port);
+  options.fleet_.basePort_ = static_cast<std::uint16_t>(FLAGS_base_port);
+  options.seconds_ = FLAGS_seconds;
+  fs::create_directories(options.fleet_.folder_);
+  const auto result = PlayProcessDemo(options);
+  if (!result.ok()) {
+    std::cerr << "burdockring demo: " << result.status().message() << '\n';
+    return ExitCode::kFailed;
+  }
+  const bool kept = result->KeepsPromises();
+  std::cout << result->ToText()
+            << (kept ? "every answer was whole, and every refusal true\n"
+                     : "NOT every answer was whole and every refusal true\n")
+            << "the routers' logs are in " << options.fleet_.folder_ << '\n';
+  return kept ? ExitCode::kOk : ExitCode::kFailed;
+}
+
 } // namespace
 
 auto RunDemo(const CommandArguments& aArguments) -> ExitCode
 {
+  if (aArguments.empty() && FLAGS_platform) {
+    return RunProcessDemo();
+  }
   auto layout = Deployment::Make(FLAGS_deployment,
                                  static_cast<std::uint16_t>(FLAGS_base_port));
   if (!aArguments.empty() || !layout) {
--- a/src/main/flags.cpp
+++ b/src/main/flags.cpp
@@ -32,6 +32,7 @@
 DEFINE_string(plot, "", "file for an SVG plot of the latencies");
 DEFINE_string(deployment, "bureau", "bureau or teranga");
 DEFINE_int32(base_port, 18000, "first port of the demo");
+DEFINE_bool(platform, false, "run routers as processes on the platform's path");
 DEFINE_bool(keep, false, "leave the demo running until it is interrupted");
 DEFINE_string(write, "", "folder to write the deployment's files to, and end");
 DEFINE_string(scenario, "", "scenarios to run, with commas; empty: all");
--- a/src/main/flags.h
+++ b/src/main/flags.h
@@ -34,6 +34,7 @@
 DECLARE_string(plot);
 DECLARE_string(deployment);
 DECLARE_int32(base_port);
+DECLARE_bool(platform);
 DECLARE_bool(keep);
 DECLARE_string(write);
 DECLARE_string(scenario);
--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -309,12 +309,13 @@
   for (const auto& router : aEffect.routers_) {
     boost::system::error_code error;
     const auto address = asio::ip::make_address(router.host_, error);
-    if (error) {
-      continue;
+    if (!error) {
+      peerBytesSent_ += static_cast<std::int64_t>(bytes.size());
+      peers_.send_to(asio::buffer(bytes), { address, router.port_ }, 0, error);
     }
-    peerBytesSent_ += static_cast<std::int64_t>(bytes.size());
-    // A datagram that can't go out now is as one lost on the way.
-    peers_.send_to(asio::buffer(bytes), { address, router.port_ }, 0, error);
+    // A datagram that can't go out now is as one lost on the way; who gets
+    // none is seen by the missing heartbeats.
+    unsentDatagrams_ += error ? 1 : 0;
   }
 }
 
@@ -361,6 +362,7 @@
   add("records_skipped_total", source_.GarbledCount());
   add("peer_bytes_sent_total", peerBytesSent_);
   add("datagrams_skipped_total", garbledDatagrams_);
+  add("datagrams_unsent_total", unsentDatagrams_);
   add("log_lines_dropped_total", log_.DroppedTotal());
   add("configuration_version", node_.Table()->Version());
   add("configuration_age_ms", node_.ConfigAge(BootNow()).count() / 1000);
--- a/src/main/forwarding_process.h
+++ b/src/main/forwarding_process.h
@@ -63,6 +63,7 @@
   bool wasReady_ = false;
   std::int64_t peerBytesSent_ = 0;
   std::int64_t garbledDatagrams_ = 0;
+  std::int64_t unsentDatagrams_ = 0;
 
   auto WaitForCallers() -> void;
   /// Takes the connections that wait; whether to wait for more at once.
--- a/tests/support/platform_standins.h
+++ b/src/standin/scripted_target.h
@@ -1,14 +1,13 @@
-#ifndef BURDOCKRING_TESTS_SUPPORT_PLATFORM_STANDINS_H
-#define BURDOCKRING_TESTS_SUPPORT_PLATFORM_STANDINS_H
+#ifndef BURDOCKRING_STANDIN_SCRIPTED_TARGET_H
+#define BURDOCKRING_STANDIN_SCRIPTED_TARGET_H
 
-#include "connection/http_server.h"
-#include "platform/record_codec.h"
+#include "base/time.h"
 
-#include <atomic>
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 #include <functional>
-#include <map>
-#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -16,30 +15,6 @@
 
 namespace burdockring {
 
-/// A small stand-in of the platform's store: topics of keyed records in memory,
-/// read by their newest or from an offset, and appended to.
-class StoreStandin
-{
-  boost::asio::io_context context_{ 1 };
-  std::unique_ptr<HttpServer> server_;
-  std::thread thread_;
-  std::mutex mutex_;
-  std::map<std::string, std::vector<KeyedRecord>> topics_;
-  std::atomic<bool> down_{ false };
-
-  auto Answer(const HttpRequest& aRequest) -> std::pair<int, std::string>;
-  auto Newest(const std::string& aTopic) -> std::string;
-  auto Read(const std::string& aTopic, std::size_t aFrom) -> std::string;
-
-public:
-  explicit StoreStandin(std::uint16_t aPort);
-  ~StoreStandin();
-
-  auto Put(const std::string& aTopic, KeyedRecord aRecord) -> void;
-  /// While down, every call is answered with 503.
-  auto SetDown(bool aDown) -> void;
-};
-
 /// What a scripted target does with a request.
 struct ScriptedAnswer
 {
@@ -47,6 +22,9 @@
   std::string bytes_;
   /// Whether the connection ends behind them.
   bool close_ = false;
+  /// More bytes, each after the pause.
+  std::vector<std::string> later_ = {};
+  Duration pause_{};
 };
 
 /// A target that answers each request by a script, byte for byte, one
@@ -63,10 +41,12 @@
   std::mutex mutex_;
   Script script_;
   std::vector<std::string> requests_;
+  bool keepsRequests_ = true;
 
   auto Serve() -> boost::asio::awaitable<void>;
   auto ServeOne(boost::asio::ip::tcp::socket aSocket)
     -> boost::asio::awaitable<void>;
+  auto TakeAnswer(std::string aRequest) -> ScriptedAnswer;
 
 public:
   explicit ScriptedTarget(std::uint16_t aPort);
@@ -75,9 +55,16 @@
   auto SetScript(Script aScript) -> void;
   /// Takes the requests so far, header and body.
   auto TakeRequests() -> std::vector<std::string>;
+  /// Forgets requests at once, for long runs.
+  auto KeepNoRequests() -> void;
 };
 
-/// Sends raw bytes on a new connection and reads until the peer closes.
+/// The value of a header field in the raw bytes of a message, or empty.
+auto RawField(const std::string& aMessage, const std::string& aName)
+  -> std::string;
+
+/// Sends raw bytes on a new connection to loopback and reads until the peer
+/// closes.
 auto SendRaw(std::uint16_t aPort, const std::string& aBytes) -> std::string;
 
 } // namespace burdockring
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -42,10 +42,6 @@
   Duration timeout_{};
   /// Within this time an answer, or a stream's first event, is on time.
   Duration aim_{};
-  /// Longest pause between two events of a stream that is on time; zero: none.
-  Duration gapAim_{};
-  /// 0 is the most urgent.
-  int priority_ = 0;
   int maxAttempts_ = 1;
   /// Whether requests need no key.
   bool public_ = false;
@@ -66,12 +62,8 @@
   int maxConnections_ = 0;
   /// Whether its targets are model engines, with a memory of prompts.
   bool isEngine_ = false;
-  /// Requests that an engine runs at once.
-  int engineSlots_ = 0;
   /// Tokens that an engine's memory holds.
   int memoryTokens_ = 0;
-  /// Tokens in an event of a stream.
-  int tokensPerEvent_ = 1;
 };
 
 struct RoutedAccount
--- a/tests/main/forward_command_test.cpp
+++ b/tests/main/forward_command_test.cpp
@@ -1,16 +1,15 @@
-#include "support/platform_standins.h"
+#include "platform/standin/standin_records.h"
+#include "platform/standin/store_standin.h"
+#include "standin/child_process.h"
+#include "standin/scripted_target.h"
 
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <gtest/gtest.h>
-#include <spawn.h>
-#include <sys/wait.h>
 #include <thread>
 
-extern char** environ;
-
 namespace burdockring {
 namespace {
 
@@ -19,52 +18,14 @@
 constexpr std::uint16_t kReadyPort = 24080;
 constexpr std::uint16_t kFirstTargetPort = 24091;
 constexpr std::uint16_t kSecondTargetPort = 24092;
+constexpr std::uint16_t kFirstInternalPort = 24074;
+constexpr std::uint16_t kLastInternalPort = 24079;
 constexpr int kPolls = 400;
 
-constexpr const char* kSettings = R"({"nodeName":"r1","ip":"127.0.0.1",
- "zone":"z","bind":{"front":"127.0.0.1:24083","ready":"127.0.0.1:24080"},
- "internalPorts":[24074,24079],"bounds":{"revokeMs":5000,"drainMs":2000,
- "budgetRatio":0.2,"budgetWindowS":10,"budgetSlack":1000,"graceS":6},
- "platform":{"address":"127.0.0.1:24081"}})";
-
-constexpr const char* kConfiguration = R"({"version":3,"routes":[
- {"name":"safe","host":"h","pathPrefix":"/safe/","kind":"safe","timeoutMs":3000,
-  "targetLatencyMs":500,"maxAttempts":2,"public":false,"service":"s"},
- {"name":"once","host":"h","pathPrefix":"/once/","kind":"unsafe",
-  "timeoutMs":3000,"targetLatencyMs":500,"maxAttempts":1,"public":true,
-  "service":"s"},
- {"name":"talk","host":"h","pathPrefix":"/talk/","kind":"stream",
-  "timeoutMs":3000,"targetLatencyMs":500,"maxAttempts":2,"public":true,
-  "resumable":true,"service":"s"}],
- "services":[{"name":"s","maxConns":100}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,
-  "idleTimeoutMs":15000},
- "tenants":[{"name":"hotel","apiKeys":["k1"]}]})";
-
-auto Entry(std::uint16_t aPort) -> std::string
-{
-  return R"({"service":"s","zone":"z","slots":4,"state":"ready","born":1,)"
-         R"("address":"127.0.0.1:)" +
-         std::to_string(aPort) + "\"}";
-}
-
-/// The value of a header field in raw bytes, or empty.
-auto Field(const std::string& aBytes, const std::string& aName) -> std::string
-{
-  const auto at = aBytes.find("\r\n" + aName + ": ");
-  if (at == std::string::npos) {
-    return {};
-  }
-  const auto begin = at + aName.size() + 4;
-  return aBytes.substr(begin, aBytes.find("\r\n", begin) - begin);
-}
-
 /// A good answer to the request.
 auto Good(const std::string& aRequest, const std::string& aBody) -> std::string
 {
-  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Field(aRequest, "X-Attempt-Id") +
-         "\r\nX-Response-Stamp: sig\r\nContent-Length: " +
-         std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  return GoodHead(RequestIdOf(aRequest), aBody.size()) + aBody;
 }
 
 /// The real program between a stand-in of the store and two scripted targets.
@@ -74,37 +35,50 @@
   StoreStandin store_{ kStorePort };
   ScriptedTarget first_{ kFirstTargetPort };
   ScriptedTarget second_{ kSecondTargetPort };
-  pid_t process_ = 0;
+  ChildProcess process_;
   std::string settings_ =
     testing::TempDir() + "burdockring-forward-settings.json";
 
   auto SetUp() -> void override
   {
-    std::ofstream(settings_) << kSettings;
-    store_.Put("keyed.op", { "config", kConfiguration });
-    store_.Put("keyed.servers", { "i-1", Entry(kFirstTargetPort) });
-    store_.Put("keyed.servers", { "i-2", Entry(kSecondTargetPort) });
-    store_.Put("keyed.servers", { "i-3", "\xff garbled" });
-    const std::string program = BURDOCKRING_PROGRAM;
-    const std::string flag = "--settings=" + settings_;
-    std::vector<char*> arguments{ const_cast<char*>(program.c_str()),
-                                  const_cast<char*>("forward"),
-                                  const_cast<char*>(flag.c_str()), nullptr };
-    ASSERT_EQ(posix_spawn(&process_, program.c_str(), nullptr, nullptr,
-                          arguments.data(), environ),
-              0);
+    WriteSettings();
+    FillStore();
+    ASSERT_TRUE(process_
+                  .Start(BURDOCKRING_PROGRAM,
+                         { "forward", "--settings=" + settings_ }, "/dev/null")
+                  .ok());
     SetScripts([](const std::string& aRequest) {
       return ScriptedAnswer{ Good(aRequest, "whole"), false };
     });
     ASSERT_TRUE(WaitUntil([] { return ReadyStatus() == "200"; }));
   }
 
-  auto TearDown() -> void override
+  auto WriteSettings() -> void
   {
-    if (process_ > 0) {
-      kill(process_, SIGKILL);
-      waitpid(process_, nullptr, 0);
-    }
+    StandinRouter router;
+    router.name_ = "r1";
+    router.zone_ = "z";
+    router.callers_ = kCallerPort;
+    router.ready_ = kReadyPort;
+    router.firstInternal_ = kFirstInternalPort;
+    router.lastInternal_ = kLastInternalPort;
+    router.store_ = kStorePort;
+    router.grace_ = 6s;
+    std::ofstream(settings_) << EncodeStandinSettings(router);
+  }
+
+  auto FillStore() -> void
+  {
+    StandinConfiguration configuration;
+    configuration.version_ = 3;
+    configuration.routes_[1].public_ = true;
+    configuration.routes_[2].public_ = true;
+    store_.Put(std::string(kStandinConfigurationTopic),
+               EncodeStandinConfiguration(configuration));
+    const std::string targets(kStandinTargetTopic);
+    store_.Put(targets, EncodeStandinTarget({ "i-1", "z", kFirstTargetPort }));
+    store_.Put(targets, EncodeStandinTarget({ "i-2", "z", kSecondTargetPort }));
+    store_.Put(targets, { "i-3", "\xff garbled" });
   }
 
   static auto ReadyStatus() -> std::string
@@ -166,17 +140,17 @@
         "Authorization: Token k1\r\nX-Tenant: forged\r\nX-Deadline-Ms: 2000\r\n"
         "X-Other: kept\r\n");
   EXPECT_EQ(Status(answer), "200");
-  EXPECT_EQ(Field(answer, "X-Response-Stamp"), "sig");
+  EXPECT_EQ(RawField(answer, "X-Response-Stamp"), "sig");
   EXPECT_TRUE(answer.ends_with("\r\n\r\nwhole"));
   const auto seen = Seen();
   ASSERT_EQ(seen.size(), 1U);
   EXPECT_TRUE(seen[0].starts_with("POST /safe/x?q=1 HTTP/1.1\r\n"));
   EXPECT_TRUE(seen[0].ends_with("\r\n\r\nhello"));
-  EXPECT_EQ(Field(seen[0], "X-Tenant"), "hotel");
-  EXPECT_EQ(Field(seen[0], "Authorization"), "");
-  EXPECT_EQ(Field(seen[0], "X-Other"), "kept");
-  EXPECT_FALSE(Field(seen[0], "X-Expect-Instance").empty());
-  EXPECT_LE(std::stoi(Field(seen[0], "X-Deadline-Ms")), 2000);
+  EXPECT_EQ(RawField(seen[0], "X-Tenant"), "hotel");
+  EXPECT_EQ(RawField(seen[0], "Authorization"), "");
+  EXPECT_EQ(RawField(seen[0], "X-Other"), "kept");
+  EXPECT_FALSE(RawField(seen[0], "X-Expect-Instance").empty());
+  EXPECT_LE(std::stoi(RawField(seen[0], "X-Deadline-Ms")), 2000);
 
   EXPECT_EQ(Status(Ask("/safe/x", "b", "Authorization: Token no\r\n")), "401");
   EXPECT_EQ(Status(Ask("/nowhere/x")), "404");
@@ -211,13 +185,11 @@
 TEST_F(ForwardCommandTest, TargetThatDidNotRunIsToldAsNotRun)
 {
   SetScripts([](const std::string&) {
-    return ScriptedAnswer{ "HTTP/1.1 503 Full\r\nX-Attempt-Id: a1\r\n"
-                           "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-                           false };
+    return ScriptedAnswer{ NotRunAnswer("a1"), false };
   });
   const auto answer = Ask("/once/x");
   EXPECT_EQ(Status(answer), "503");
-  EXPECT_FALSE(Field(answer, "Retry-After").empty());
+  EXPECT_FALSE(RawField(answer, "Retry-After").empty());
   EXPECT_EQ(Seen().size(), 1U);
 }
 
@@ -249,7 +221,7 @@
         true
       };
     }
-    EXPECT_EQ(Field(aRequest, "Last-Event-Id"), "1");
+    EXPECT_EQ(RawField(aRequest, "Last-Event-Id"), "1");
     return ScriptedAnswer{ head + "id: 2\ndata: b\n\n", true };
   });
   const auto answer = Ask("/talk/x");
@@ -288,14 +260,14 @@
 
 TEST_F(ForwardCommandTest, PublicRoutesGoOnWhileTheStoreIsDown)
 {
-  store_.SetDown(true);
+  store_.SetFault(StoreFault::kDown);
   EXPECT_EQ(Status(Ask("/once/x")), "200");
   const auto refused = [] {
     return Status(Ask("/safe/x", "b", "Authorization: Token k1\r\n")) == "503";
   };
   EXPECT_TRUE(WaitUntil(refused));
   EXPECT_EQ(Status(Ask("/once/x")), "200");
-  store_.SetDown(false);
+  store_.SetFault(StoreFault::kNone);
   EXPECT_TRUE(WaitUntil([] {
     return Status(Ask("/safe/x", "b", "Authorization: Token k1\r\n")) == "200";
   }));
@@ -303,16 +275,12 @@
 
 TEST_F(ForwardCommandTest, StopFinishesAndEnds)
 {
-  kill(process_, SIGTERM);
+  process_.Signal(SIGTERM);
   EXPECT_TRUE(WaitUntil([] { return ReadyStatus() == "503"; }));
   // What the balancer still sends is served.
   EXPECT_EQ(Status(Ask("/once/x")), "200");
-  int status = -1;
-  EXPECT_TRUE(
-    WaitUntil([&] { return waitpid(process_, &status, WNOHANG) == process_; }));
-  process_ = 0;
-  EXPECT_TRUE(WIFEXITED(status));
-  EXPECT_EQ(WEXITSTATUS(status), 0);
+  EXPECT_TRUE(WaitUntil([&] { return !process_.IsRunning(); }));
+  EXPECT_EQ(process_.ExitCode(), 0);
 }
 
 } // namespace
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -1,15 +1,9 @@
 #include "soak/soak_fleet.h"
 
 #include <csignal>
-#include <cstdlib>
-#include <fcntl.h>
 #include <fmt/format.h>
 #include <fstream>
-#include <spawn.h>
 #include <stdexcept>
-#include <sys/wait.h>
-
-extern char** environ;
 
 namespace burdockring {
 namespace {
@@ -35,24 +29,6 @@
     .count();
 }
 
-auto FieldOf(const std::string& aRequest, const std::string& aName)
-  -> std::string
-{
-  const auto at = aRequest.find("\r\n" + aName + ": ");
-  if (at == std::string::npos) {
-    return {};
-  }
-  const auto begin = at + aName.size() + 4;
-  return aRequest.substr(begin, aRequest.find("\r\n", begin) - begin);
-}
-
-auto SignedHead(const std::string& aId, std::size_t aLength) -> std::string
-{
-  return fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\n"
-                     "X-Response-Stamp: sig\r\nContent-Length: {}\r\n\r\n",
-                     aId, aLength);
-}
-
 } // namespace
 
 auto SoakFleet::PortOf(int aOffset) const -> std::uint16_t
@@ -63,44 +39,41 @@
 auto SoakFleet::WriteSettings(int aRouter) -> void
 {
   const int first = kFirstRouterPort + aRouter * kPortsOfRouter;
+  StandinRouter router;
+  router.name_ = fmt::format("r{}", aRouter);
+  router.zone_ = fmt::format("z{}", aRouter % 2);
+  router.callers_ = PortOf(first);
+  router.ready_ = PortOf(first + kReadyOffset);
+  router.firstInternal_ = PortOf(first + kPeerOffset);
+  router.lastInternal_ = PortOf(first + kPortsOfRouter - 1);
+  router.store_ = PortOf(first + kStoreLinkOffset);
+  router.revokeBound_ = std::chrono::milliseconds(kRevokeMs);
   std::ofstream(routers_[static_cast<std::size_t>(aRouter)].settings_)
-    << fmt::format(
-         R"({{"nodeName":"r{0}","ip":"127.0.0.1","zone":"z{1}",
- "bind":{{"front":"127.0.0.1:{2}","ready":"127.0.0.1:{3}"}},
- "internalPorts":[{5},{6}],"bounds":{{"revokeMs":{7},"drainMs":2000,
- "budgetRatio":0.2,"budgetWindowS":10,"budgetSlack":1000,"graceS":4}},
- "platform":{{"address":"127.0.0.1:{4}"}}}})",
-         aRouter, aRouter % 2, PortOf(first), PortOf(first + kReadyOffset),
-         PortOf(first + kStoreLinkOffset), PortOf(first + kPeerOffset),
-         PortOf(first + kPortsOfRouter - 1), kRevokeMs);
+    << EncodeStandinSettings(router);
 }
 
-auto SoakFleet::ListTarget(int aTarget, const std::string& aState) -> void
+auto SoakFleet::ListTarget(int aTarget, bool aLeaving) -> void
 {
-  store_->Put(
-    "keyed.servers",
-    { fmt::format("i-{}", aTarget),
-      fmt::format(R"({{"service":"s","zone":"z{}","slots":16,)"
-                  R"("state":"{}","born":1,)"
-                  R"("address":"127.0.0.1:{}"}})",
-                  aTarget % 2, aState,
-                  PortOf(kFirstTargetPort + aTarget * kPortsOfTarget + 1)) });
+  StandinTarget target;
+  target.name_ = fmt::format("i-{}", aTarget);
+  target.zone_ = fmt::format("z{}", aTarget % 2);
+  target.port_ = PortOf(kFirstTargetPort + aTarget * kPortsOfTarget + 1);
+  target.leaving_ = aLeaving;
+  store_->Put(std::string(kStandinTargetTopic), EncodeStandinTarget(target));
 }
 
 auto SoakFleet::AnswerOf(int aTarget, const std::string& aRequest)
   -> ScriptedAnswer
 {
   auto& target = *targets_[static_cast<std::size_t>(aTarget)];
-  const auto id = FieldOf(aRequest, "X-Attempt-Id");
+  const auto id = RequestIdOf(aRequest);
   thread_local std::mt19937 random(options_.seed_ +
                                    static_cast<std::uint32_t>(aTarget));
   const bool misbehaves =
     static_cast<int>(random() % 1000) < target.faulty_.load();
   const auto how = misbehaves ? random() % 5 : 99;
   if (how == 0) {
-    return { "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " + id +
-               "\r\nContent-Length: 0\r\n\r\n",
-             false };
+    return { NotRunAnswer(id), false };
   }
   if (target.leftAt_ > 0 && NowMs() > target.leftAt_) {
     book_->OnLateAtLeaving(id);
@@ -108,10 +81,9 @@
   book_->OnRun(id);
   std::string body = PromiseBook::BodyOf(id);
   if (aRequest.find("/talk/") != std::string::npos) {
-    const auto last = FieldOf(aRequest, "Last-Event-Id");
-    body = PromiseBook::EventsOf(id, last.empty() ? 0 : std::stoi(last));
+    body = PromiseBook::EventsOf(id, LastEventOf(aRequest));
   }
-  const auto whole = SignedHead(id, body.size()) + body;
+  const auto whole = GoodHead(id, body.size()) + body;
   switch (how) {
     case 1:
       // Cut somewhere, also within the head.
@@ -120,7 +92,7 @@
       return { "", true };
     case 3:
       // An answer too many, to nobody's request.
-      return { whole + SignedHead("stray", 3) + "abc", false };
+      return { whole + GoodHead("stray", 3) + "abc", false };
     case 4:
       return { "\x01\x02 no answer at all\r\n\r\n", true };
     default:
@@ -142,7 +114,7 @@
       [this, i](const std::string& aRequest) { return AnswerOf(i, aRequest); });
     target.link_ =
       std::make_unique<LoopbackProxy>(PortOf(first + 1), PortOf(first));
-    ListTarget(i, "ready");
+    ListTarget(i, false);
   }
   Publish(true);
   for (int i = 0; i < options_.routers_; ++i) {
@@ -167,49 +139,27 @@
 auto SoakFleet::StartRouter(int aRouter) -> void
 {
   auto& router = routers_[static_cast<std::size_t>(aRouter)];
-  const auto flag = "--settings=" + router.settings_;
-  const auto log = fmt::format("{}/r{}.log", options_.folder_, aRouter);
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
-  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-  std::vector<char*> arguments{ const_cast<char*>(options_.program_.c_str()),
-                                const_cast<char*>("forward"),
-                                const_cast<char*>(flag.c_str()), nullptr };
-  const int error = posix_spawn(&router.process_, options_.program_.c_str(),
-                                &actions, nullptr, arguments.data(), environ);
-  posix_spawn_file_actions_destroy(&actions);
-  if (error != 0) {
-    throw std::runtime_error("cannot start " + options_.program_);
+  const auto status = router.process_.Start(
+    options_.program_, { "forward", "--settings=" + router.settings_ },
+    fmt::format("{}/r{}.log", options_.folder_, aRouter));
+  if (!status.ok()) {
+    throw std::runtime_error(std::string(status.message()));
   }
 }
 
 auto SoakFleet::Signal(int aRouter, int aSignal) -> void
 {
   auto& router = routers_[static_cast<std::size_t>(aRouter)];
-  if (router.process_ <= 0) {
-    return;
-  }
   // Other signals wait until a paused process goes on.
   if (aSignal == SIGSTOP || aSignal == SIGCONT || aSignal == SIGKILL) {
     router.paused_ = aSignal == SIGSTOP;
   }
-  kill(router.process_, aSignal);
-  if (aSignal == SIGKILL) {
-    waitpid(router.process_, nullptr, 0);
-    router.process_ = 0;
-  }
+  router.process_.Signal(aSignal);
 }
 
 auto SoakFleet::Revive(int aRouter) -> void
 {
-  auto& router = routers_[static_cast<std::size_t>(aRouter)];
-  if (router.process_ > 0 &&
-      waitpid(router.process_, nullptr, WNOHANG) == router.process_) {
-    router.process_ = 0;
-  }
-  if (router.process_ == 0) {
+  if (!routers_[static_cast<std::size_t>(aRouter)].process_.IsRunning()) {
     StartRouter(aRouter);
   }
 }
@@ -230,48 +180,46 @@
     aFaulty ? kMisbehaves : 0;
 }
 
-auto SoakFleet::SetStoreDown(bool aDown) -> void
+auto SoakFleet::SetStoreFault(StoreFault aFault) -> void
 {
-  store_->SetDown(aDown);
+  store_->SetFault(aFault);
+}
+
+auto SoakFleet::CompactStore() -> void
+{
+  store_->Compact(std::string(kStandinTargetTopic));
 }
 
 auto SoakFleet::Publish(bool aWithSecondKey) -> void
 {
-  const auto second =
-    aWithSecondKey ? R"(,{"name":"shop","apiKeys":["k2"]})" : "";
-  store_->Put("keyed.op", { "config", fmt::format(
-                                        R"({{"version":{},"routes":[
- {{"name":"safe","host":"h","pathPrefix":"/safe/","kind":"safe",
-  "timeoutMs":3000,"targetLatencyMs":500,"maxAttempts":2,"service":"s"}},
- {{"name":"once","host":"h","pathPrefix":"/once/","kind":"unsafe",
-  "timeoutMs":3000,"targetLatencyMs":500,"maxAttempts":1,"service":"s"}},
- {{"name":"talk","host":"h","pathPrefix":"/talk/","kind":"stream",
-  "timeoutMs":3000,"targetLatencyMs":500,"maxAttempts":2,"resumable":true,
-  "service":"s"}}],"services":[{{"name":"s","maxConns":200}}],
- "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":100000,
-  "headerTimeoutMs":3000,"idleTimeoutMs":15000}},
- "tenants":[{{"name":"hotel","apiKeys":["k1"]}}{}]}})",
-                                        version_++, second) });
+  StandinConfiguration configuration;
+  configuration.version_ = version_++;
+  if (aWithSecondKey) {
+    configuration.accounts_.push_back({ "shop", "k2" });
+  }
+  store_->Put(std::string(kStandinConfigurationTopic),
+              EncodeStandinConfiguration(configuration));
   revokedAt_ = aWithSecondKey ? 0 : NowMs();
 }
 
 auto SoakFleet::PutGarbage() -> void
 {
-  store_->Put("keyed.servers", { "i-garbled", "\xff\x01 {\"service\":" });
-  store_->Put("keyed.routers", { "r-garbled", "[]" });
+  store_->Put(std::string(kStandinTargetTopic),
+              { "i-garbled", "\xff\x01 {\"service\":" });
+  store_->Put(std::string(kStandinRouterTopic), { "r-garbled", "[]" });
 }
 
 auto SoakFleet::DrainTarget(int aTarget, std::chrono::milliseconds aBound)
   -> void
 {
-  ListTarget(aTarget, "draining");
+  ListTarget(aTarget, true);
   targets_[static_cast<std::size_t>(aTarget)]->leftAt_ =
     NowMs() + aBound.count();
 }
 
 auto SoakFleet::Heal() -> void
 {
-  SetStoreDown(false);
+  SetStoreFault(StoreFault::kNone);
   for (int i = 0; i < options_.routers_; ++i) {
     SetStoreLink(i, LinkFault::kNone);
     if (routers_[static_cast<std::size_t>(i)].paused_) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -1,9 +1,12 @@
 #ifndef BURDOCKRING_TESTS_SOAK_SOAK_FLEET_H
 #define BURDOCKRING_TESTS_SOAK_SOAK_FLEET_H
 
+#include "platform/standin/standin_records.h"
+#include "platform/standin/store_standin.h"
 #include "soak/loopback_proxy.h"
 #include "soak/promise_book.h"
-#include "support/platform_standins.h"
+#include "standin/child_process.h"
+#include "standin/scripted_target.h"
 
 #include <atomic>
 #include <chrono>
@@ -12,7 +15,6 @@
 #include <optional>
 #include <random>
 #include <string>
-#include <sys/types.h>
 #include <vector>
 
 namespace burdockring {
@@ -38,7 +40,7 @@
 
   struct Router
   {
-    pid_t process_ = 0;
+    ChildProcess process_;
     bool paused_ = false;
     std::string settings_;
     std::unique_ptr<LoopbackProxy> storeLink_;
@@ -64,7 +66,7 @@
 
   [[nodiscard]] auto PortOf(int aOffset) const -> std::uint16_t;
   auto WriteSettings(int aRouter) -> void;
-  auto ListTarget(int aTarget, const std::string& aState) -> void;
+  auto ListTarget(int aTarget, bool aLeaving) -> void;
   auto AnswerOf(int aTarget, const std::string& aRequest) -> ScriptedAnswer;
 
 public:
@@ -83,7 +85,8 @@
   auto SetStoreLink(int aRouter, LinkFault aFault) -> void;
   auto SetTargetLink(int aTarget, LinkFault aFault) -> void;
   auto SetTargetFaulty(int aTarget, bool aFaulty) -> void;
-  auto SetStoreDown(bool aDown) -> void;
+  auto SetStoreFault(StoreFault aFault) -> void;
+  auto CompactStore() -> void;
   /// Writes a version, with the second account's key or without it.
   auto Publish(bool aWithSecondKey) -> void;
   auto PutGarbage() -> void;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -3,6 +3,7 @@
 //   burdockring_soak --program build/src/main/burdockring --seed 7
 #include "soak/soak_callers.h"
 
+#include <array>
 #include <csignal>
 #include <filesystem>
 #include <fmt/core.h>
@@ -29,11 +30,26 @@
 constexpr auto kDrainWatch = 3500ms;
 constexpr int kLeastServed = 20;
 
+struct StoreFaultRow
+{
+  StoreFault fault_;
+  const char* name_;
+};
+
+constexpr std::array kStoreFaults{
+  StoreFaultRow{ StoreFault::kDown, "down" },
+  StoreFaultRow{ StoreFault::kTooManyCalls, "refuses calls" },
+  StoreFaultRow{ StoreFault::kLosesReplies, "loses replies" },
+  StoreFaultRow{ StoreFault::kSlow, "slow" },
+};
+
 /// Plays faults until the time is over; several overlap.
 class FaultScript
 {
   SoakFleet* fleet_;
   std::mt19937 random_;
+  /// Draws the store's faults apart, so that a seed's other faults stay.
+  std::mt19937 storeRandom_;
   bool verbose_;
 
   auto Draw(int aBelow) -> int
@@ -94,13 +110,16 @@
   auto HarmStore() -> void
   {
     switch (Draw(4)) {
-      case 0:
-        Say("store down");
-        fleet_->SetStoreDown(true);
+      case 0: {
+        const auto& row = kStoreFaults.at(storeRandom_() % kStoreFaults.size());
+        Say(fmt::format("store {}", row.name_));
+        fleet_->SetStoreFault(row.fault_);
         break;
+      }
       case 1:
-        Say("garbled entries");
+        Say("garbled entries, and old records forgotten");
         fleet_->PutGarbage();
+        fleet_->CompactStore();
         break;
       case 2: {
         const bool with = Draw(2) == 0;
@@ -110,7 +129,7 @@
       }
       default:
         Say("store up");
-        fleet_->SetStoreDown(false);
+        fleet_->SetStoreFault(StoreFault::kNone);
     }
   }
 
@@ -118,6 +137,7 @@
   FaultScript(SoakFleet* aFleet, bool aVerbose)
     : fleet_(aFleet)
     , random_(aFleet->Options().seed_)
+    , storeRandom_(aFleet->Options().seed_)
     , verbose_(aVerbose)
   {
   }
