--- a/src/standin/scripted_target.cpp
+++ b/src/standin/scripted_target.cpp
@@ -74,6 +74,9 @@
       co_await timer.async_wait(token());
       co_await asio::async_write(aSocket, asio::buffer(piece), token());
     }
+    if (answer.reset_) {
+      aSocket.set_option(asio::socket_base::linger(true, 0), error);
+    }
     if (answer.close_ || error) {
       co_return;
     }
--- a/src/standin/scripted_target.h
+++ b/src/standin/scripted_target.h
@@ -25,6 +25,8 @@
   /// More bytes, each after the pause.
   std::vector<std::string> later_ = {};
   Duration pause_{};
+  /// Whether the connection's end is a reset.
+  bool reset_ = false;
 };
 
 /// A target that answers each request by a script, byte for byte, one
