Copy also first parts of a chain, from whoever is believed to keep most

Cause: beginnings are chains; their first parts are read anew at each engine that takes one of their last parts, and only the last part's keepers were copied from. Change: sources are all usable targets by what this router sent them, the last part's first choice counting as keeping all; the first choice copies too where nothing was sent to it.

--- a/src/process/forwarding/placement.cpp
+++ b/src/process/forwarding/placement.cpp
@@ -116,39 +116,56 @@
   return std::max(1, aItem.promptTokens_ - SharedTokens(aItem));
 }
 
-auto Placement::FindCopySource(const WorkItem& aItem,
-                               const std::vector<UsableTarget>& aTargets,
-                               const std::vector<std::size_t>& aKeepers,
-                               std::size_t aPlace,
-                               Instant aNow) -> std::optional<TargetId>
+auto Placement::FindCopySources(const WorkItem& aItem,
+                                const std::vector<UsableTarget>& aTargets,
+                                const std::vector<std::size_t>& aKeepers,
+                                Instant aNow) -> std::vector<CopySource>
 {
-  for (std::size_t rank = 0; rank < aKeepers.size(); ++rank) {
-    const auto& keeper = aTargets[aKeepers[rank]];
-    const bool keeps = rank == 0 || KeptTokens(aItem, *keeper.load_, aNow) > 0;
-    if (aKeepers[rank] != aPlace && keeps && !keeper.load_->IsAvoided(aNow)) {
-      return keeper.listed_->id_;
+  const int shared = SharedTokens(aItem);
+  std::vector<CopySource> sources;
+  for (std::size_t i = 0; i < aTargets.size() && shared > 0; ++i) {
+    const auto& target = aTargets[i];
+    if (target.load_->IsAvoided(aNow)) {
+      continue;
+    }
+    const bool isFirst = !aKeepers.empty() && aKeepers.front() == i;
+    const int kept =
+      isFirst ? shared
+              : std::min(shared, KeptTokens(aItem, *target.load_, aNow));
+    if (kept >= kLeastCopied) {
+      sources.push_back({ target.listed_->id_, kept });
     }
   }
-  return std::nullopt;
+  std::stable_sort(sources.begin(), sources.end(),
+                   [](const CopySource& aLeft, const CopySource& aRight) {
+                     return aLeft.keptTokens_ > aRight.keptTokens_;
+                   });
+  return sources;
 }
 
 auto Placement::WeighEngine(const WorkItem& aItem,
                             const RoutedService& aService,
                             const UsableTarget& aTarget,
                             std::size_t aRank,
-                            std::optional<TargetId> aCopySource,
+                            const std::vector<CopySource>& aSources,
                             const PlaceLimits& aLimits,
                             Instant aNow) const -> Candidate
 {
   const auto& load = *aTarget.load_;
   const int shared = SharedTokens(aItem);
-  const int kept =
-    aRank == 0 ? shared : std::min(shared, KeptTokens(aItem, load, aNow));
-  const int missing = shared - kept;
-  const bool copies = aCopySource.has_value() && aService.copyMsPerToken_ > 0 &&
-                      missing >= kLeastCopied;
-  const int read =
-    std::max(1, aItem.promptTokens_ - kept - (copies ? missing : 0));
+  const int known = std::min(shared, KeptTokens(aItem, load, aNow));
+  const int kept = aRank == 0 ? shared : known;
+  const auto source =
+    std::find_if(aSources.begin(), aSources.end(), [&](const auto& aSource) {
+      return aSource.target_ != aTarget.listed_->id_ &&
+             aSource.keptTokens_ - known >= kLeastCopied;
+    });
+  const bool copies = aService.copyMsPerToken_ > 0 && source != aSources.end();
+  // The first choice is believed to keep all, and copies only in case it does
+  // not.
+  const int copied = copies ? std::max(0, source->keptTokens_ - kept) : 0;
+  const int missing = shared - kept - copied;
+  const int read = std::max(1, aItem.promptTokens_ - kept - copied);
   const auto total = load.Total();
   const int slots = std::max(1, aTarget.listed_->slots_);
   Candidate candidate;
@@ -157,12 +174,14 @@
   candidate.backlog_ = load.PrefillTime(0);
   candidate.wait_ = load.PrefillTime(read) + kFirstEventTime;
   if (copies) {
-    candidate.copyFrom_ = aCopySource;
+    candidate.copyFrom_ = source->target_;
+  }
+  if (copied > 0) {
     candidate.wait_ +=
-      kCopySetup + FromMillis(missing * aService.copyMsPerToken_);
+      kCopySetup + FromMillis(copied * aService.copyMsPerToken_);
   }
   candidate.cost_ =
-    candidate.wait_ + FromMillis(missing * (copies ? kCopyMs : kReadAgainMs));
+    candidate.wait_ + FromMillis(missing * kReadAgainMs + copied * kCopyMs);
   if (shared > 0) {
     candidate.cost_ += kRankPenalty * static_cast<int>(aRank);
   }
@@ -188,6 +207,7 @@
 {
   const auto places = MayTake(aItem, aTargets, aNow);
   const auto keepers = FindKeepers(aItem, aTargets, kKeepers);
+  const auto sources = FindCopySources(aItem, aTargets, keepers, aNow);
   const auto isOpen = [&](std::size_t aPlace) {
     return std::find(places.begin(), places.end(), aPlace) != places.end();
   };
@@ -205,9 +225,8 @@
       limits.maxBacklog_ =
         std::min<Duration>(limits.maxBacklog_, kElsewhereBacklog);
     }
-    const auto source = FindCopySource(aItem, aTargets, keepers, i, aNow);
     auto candidate =
-      WeighEngine(aItem, aService, aTargets[i], rank, source, limits, aNow);
+      WeighEngine(aItem, aService, aTargets[i], rank, sources, limits, aNow);
     if (staysAtKeepers && rank >= kKeepers) {
       candidate.fits_ = false;
     }
--- a/src/process/forwarding/placement.h
+++ b/src/process/forwarding/placement.h
@@ -108,23 +108,28 @@
   /// What a copied token counts for beside its time, in milliseconds.
   static constexpr double kCopyMs = 0.01;
   /// Beginnings of fewer tokens are read sooner than copied.
-  static constexpr int kLeastCopied = 200;
+  static constexpr int kLeastCopied = 100;
 
   ZoneId home_;
 
-  /// Lets the engine copy from one of the keepers what it does not keep of the
-  /// shared beginning; the time is added to the candidate's wait.
-  [[nodiscard]] static auto FindCopySource(
+  /// An engine that keeps some of a shared beginning.
+  struct CopySource
+  {
+    TargetId target_;
+    int keptTokens_ = 0;
+  };
+
+  /// Engines that keep most of the request's shared beginning, best first.
+  [[nodiscard]] static auto FindCopySources(
     const WorkItem& aItem,
     const std::vector<UsableTarget>& aTargets,
     const std::vector<std::size_t>& aKeepers,
-    std::size_t aPlace,
-    Instant aNow) -> std::optional<TargetId>;
+    Instant aNow) -> std::vector<CopySource>;
   auto WeighEngine(const WorkItem& aItem,
                    const RoutedService& aService,
                    const UsableTarget& aTarget,
                    std::size_t aRank,
-                   std::optional<TargetId> aCopySource,
+                   const std::vector<CopySource>& aSources,
                    const PlaceLimits& aLimits,
                    Instant aNow) const -> Candidate;
   [[nodiscard]] auto ChooseEngine(const WorkItem& aItem,
