--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -147,6 +147,11 @@
   if (aService.isEngine_) {
     for (const auto& part : aItem.parts_) {
       load.NotePart(part.id_, aNow);
+      run.parts_.push_back(part.id_);
+    }
+    if (!run.parts_.empty()) {
+      // The last is the request's own.
+      run.parts_.pop_back();
     }
     shares_.Give(aItem.account_, Tokens(aItem), aNow);
   }
@@ -250,6 +255,14 @@
   load.Remove({ 0, run.adds_.prefillTokens_, 0 });
   load.LearnPace(run.tokensAhead_, aNow - run.started_);
   load.OnSuccess();
+  for (const auto id : run.parts_) {
+    if (load.NotePartRead(id, true, aNow) && reads_.size() < kMaxReadsTold) {
+      wire::PartRead read;
+      read.target = run.target_.value_;
+      read.part = static_cast<std::int64_t>(id);
+      reads_.push_back(read);
+    }
+  }
   run.adds_.prefillTokens_ = 0;
 }
 
@@ -327,6 +340,13 @@
   mayHaveRoom_ = true;
   loads_.SetPeer(aPeer, aReport.targets, aNow);
   shares_.SetPeer(aPeer, aReport.accounts, aNow);
+  for (const auto& read : aReport.reads) {
+    const TargetId target{ read.target };
+    if (directory_->Find(target) != nullptr) {
+      loads_.At(target).NotePartRead(static_cast<std::uint64_t>(read.part),
+                                     false, aNow);
+    }
+  }
   if (aReport.pressed) {
     peersPressedUntil_ = aNow + kPressedTime;
   }
@@ -338,6 +358,7 @@
   report.targets = loads_.OwnUse();
   report.accounts = shares_.OwnUse(aNow);
   report.pressed = aNow < ownPressedUntil_;
+  report.reads = std::exchange(reads_, {});
   return report;
 }
 
--- a/src/process/forwarding/dispatcher.h
+++ b/src/process/forwarding/dispatcher.h
@@ -100,6 +100,9 @@
   static constexpr Duration kMaxRetryAfter = 4s;
   /// How often what waits is looked at though nothing is known to have changed.
   static constexpr Duration kFullLookInterval = 25ms;
+  /// Reads that one report tells of; the rest goes unsaid, as it costs but a
+  /// copy that finds nothing.
+  static constexpr std::size_t kMaxReadsTold = 500;
   /// Time to read a prompt token, in milliseconds.
   static constexpr double kPromptTokenMs = 0.028;
 
@@ -109,6 +112,8 @@
     TargetAmounts adds_;
     Instant started_{};
     int tokensAhead_ = 0;
+    /// Shared parts of its prompt.
+    std::vector<std::uint64_t> parts_;
     bool begun_ = false;
   };
 
@@ -128,6 +133,8 @@
   std::vector<Waiting> waiting_;
   std::map<RequestId, Run> runs_;
   std::vector<DispatchVerdict> verdicts_;
+  /// What targets have read since the last report to the peers.
+  std::vector<wire::PartRead> reads_;
   std::mt19937 random_;
   /// Until when accounts beyond their share stand back, by this router's own
   /// refusals and by its peers'.
--- a/src/process/forwarding/placement.cpp
+++ b/src/process/forwarding/placement.cpp
@@ -18,13 +18,17 @@
   return tokens;
 }
 
-/// Tokens of the longest beginning that the target keeps.
-auto KeptTokens(const WorkItem& aItem, const TargetLoad& aLoad, Instant aNow)
-  -> int
+/// Tokens of the longest beginning that the target has read, or that was sent
+/// to it where that is enough.
+auto KeptTokens(const WorkItem& aItem,
+                const TargetLoad& aLoad,
+                bool aSentIsEnough,
+                Instant aNow) -> int
 {
   int tokens = 0;
   for (const auto& part : aItem.parts_) {
-    if (!aLoad.KeepsPart(part.id_, aNow)) {
+    const bool sent = aSentIsEnough && aLoad.KeepsPart(part.id_, aNow);
+    if (!sent && !aLoad.HasReadPart(part.id_, aNow)) {
       break;
     }
     tokens += part.tokens_;
@@ -118,7 +122,6 @@
 
 auto Placement::FindCopySources(const WorkItem& aItem,
                                 const std::vector<UsableTarget>& aTargets,
-                                const std::vector<std::size_t>& aKeepers,
                                 Instant aNow) -> std::vector<CopySource>
 {
   const int shared = SharedTokens(aItem);
@@ -128,10 +131,8 @@
     if (target.load_->IsAvoided(aNow)) {
       continue;
     }
-    const bool isFirst = !aKeepers.empty() && aKeepers.front() == i;
     const int kept =
-      isFirst ? shared
-              : std::min(shared, KeptTokens(aItem, *target.load_, aNow));
+      std::min(shared, KeptTokens(aItem, *target.load_, false, aNow));
     if (kept >= kLeastCopied) {
       sources.push_back({ target.listed_->id_, kept });
     }
@@ -153,7 +154,7 @@
 {
   const auto& load = *aTarget.load_;
   const int shared = SharedTokens(aItem);
-  const int known = std::min(shared, KeptTokens(aItem, load, aNow));
+  const int known = std::min(shared, KeptTokens(aItem, load, true, aNow));
   const int kept = aRank == 0 ? shared : known;
   const auto source =
     std::find_if(aSources.begin(), aSources.end(), [&](const auto& aSource) {
@@ -207,7 +208,7 @@
 {
   const auto places = MayTake(aItem, aTargets, aNow);
   const auto keepers = FindKeepers(aItem, aTargets, kKeepers);
-  const auto sources = FindCopySources(aItem, aTargets, keepers, aNow);
+  const auto sources = FindCopySources(aItem, aTargets, aNow);
   const auto isOpen = [&](std::size_t aPlace) {
     return std::find(places.begin(), places.end(), aPlace) != places.end();
   };
--- a/src/process/forwarding/placement.h
+++ b/src/process/forwarding/placement.h
@@ -123,7 +123,6 @@
   [[nodiscard]] static auto FindCopySources(
     const WorkItem& aItem,
     const std::vector<UsableTarget>& aTargets,
-    const std::vector<std::size_t>& aKeepers,
     Instant aNow) -> std::vector<CopySource>;
   auto WeighEngine(const WorkItem& aItem,
                    const RoutedService& aService,
--- a/src/process/forwarding/target_load.cpp
+++ b/src/process/forwarding/target_load.cpp
@@ -37,7 +37,8 @@
 auto TargetLoad::DropOldParts(Instant aNow) -> void
 {
   std::erase_if(parts_, [&](const auto& aEntry) {
-    return aNow - aEntry.second > kPartLife;
+    const auto& part = aEntry.second;
+    return aNow - std::max(part.sentAt_, part.readAt_) > kPartLife;
   });
   if (parts_.size() >= kMaxParts) {
     parts_.clear();
@@ -66,13 +67,47 @@
   if (parts_.size() >= kMaxParts) {
     DropOldParts(aNow);
   }
-  parts_[aPart] = aNow;
+  auto& part = parts_[aPart];
+  part.sentAt_ = aNow;
+  part.sent_ = true;
 }
 
 auto TargetLoad::KeepsPart(std::uint64_t aPart, Instant aNow) const -> bool
 {
   const auto found = parts_.find(aPart);
-  return found != parts_.end() && aNow - found->second <= kPartLife;
+  return found != parts_.end() && found->second.sent_ &&
+         aNow - found->second.sentAt_ <= kPartLife;
+}
+
+auto TargetLoad::NotePartRead(std::uint64_t aPart, bool aSeenHere, Instant aNow)
+  -> bool
+{
+  if (parts_.size() >= kMaxParts) {
+    DropOldParts(aNow);
+  }
+  auto& part = parts_[aPart];
+  part.readAt_ = aNow;
+  part.read_ = true;
+  const bool known = part.told_ && aNow - part.toldAt_ < kTellAgain;
+  if (!aSeenHere) {
+    // Who else tells of it saves this router from doing so.
+    part.toldAt_ = aNow;
+    part.told_ = true;
+    return false;
+  }
+  if (known) {
+    return false;
+  }
+  part.toldAt_ = aNow;
+  part.told_ = true;
+  return true;
+}
+
+auto TargetLoad::HasReadPart(std::uint64_t aPart, Instant aNow) const -> bool
+{
+  const auto found = parts_.find(aPart);
+  return found != parts_.end() && found->second.read_ &&
+         aNow - found->second.readAt_ <= kPartLife;
 }
 
 auto TargetLoad::LearnPace(int aTokens, Duration aTime) -> void
--- a/src/process/forwarding/target_load.h
+++ b/src/process/forwarding/target_load.h
@@ -35,6 +35,8 @@
   /// A part counts as kept for so long after its last use here.
   static constexpr Duration kPartLife = 20s;
   static constexpr std::size_t kMaxParts = 4096;
+  /// Peers are told again of a part that goes on being used.
+  static constexpr Duration kTellAgain = 8s;
   /// Time to read a prompt token while other requests decode.
   static constexpr double kPrefillMsPerToken = 1.0 / 36.0;
   static constexpr double kLearnWeight = 0.1;
@@ -50,7 +52,21 @@
 
   TargetAmounts own_;
   TargetAmounts peers_;
-  std::unordered_map<std::uint64_t, Instant> parts_;
+  /// A part of prompts, as far as it is known here.
+  struct Part
+  {
+    /// When a request with it was last sent here, if one was.
+    Instant sentAt_{};
+    bool sent_ = false;
+    /// When the target was last known to have read it, if it has.
+    Instant readAt_{};
+    bool read_ = false;
+    /// When the peers were last told so.
+    Instant toldAt_{};
+    bool told_ = false;
+  };
+
+  std::unordered_map<std::uint64_t, Part> parts_;
   double pace_ = 1.0;
   int failures_ = 0;
   Instant avoidUntil_{};
@@ -66,7 +82,14 @@
 
   /// A request with this part was sent here.
   auto NotePart(std::uint64_t aPart, Instant aNow) -> void;
+  /// Whether a request with this part was lately sent here.
   [[nodiscard]] auto KeepsPart(std::uint64_t aPart, Instant aNow) const -> bool;
+  /// The target has read this part. Gives whether the peers should be told,
+  /// where this router saw it itself.
+  auto NotePartRead(std::uint64_t aPart, bool aSeenHere, Instant aNow) -> bool;
+  /// Whether the target is known to have read this part.
+  [[nodiscard]] auto HasReadPart(std::uint64_t aPart, Instant aNow) const
+    -> bool;
 
   /// Learns from the time to a first event behind so many prompt tokens.
   auto LearnPace(int aTokens, Duration aTime) -> void;
--- a/src/wire/envelope_codec.cpp
+++ b/src/wire/envelope_codec.cpp
@@ -18,7 +18,7 @@
 auto HasRows(const Envelope& aEnvelope) -> bool
 {
   const auto& set = aEnvelope.__isset;
-  return set.demand || set.grants || set.exchange;
+  return set.demand || set.grants || set.exchange || set.load;
 }
 
 } // namespace
--- a/src/wire/gen/peer_types.cpp
+++ b/src/wire/gen/peer_types.cpp
@@ -2598,6 +2598,118 @@
 }
 
 
+PartRead::~PartRead() noexcept {
+}
+
+
+void PartRead::__set_target(const int32_t val) {
+  this->target = val;
+}
+
+void PartRead::__set_part(const int64_t val) {
+  this->part = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartRead& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartRead::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartRead::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartRead");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartRead &a, PartRead &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.part, b.part);
+  swap(a.__isset, b.__isset);
+}
+
+PartRead::PartRead(const PartRead& other78) noexcept {
+  target = other78.target;
+  part = other78.part;
+  __isset = other78.__isset;
+}
+PartRead& PartRead::operator=(const PartRead& other79) noexcept {
+  target = other79.target;
+  part = other79.part;
+  __isset = other79.__isset;
+  return *this;
+}
+void PartRead::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartRead(";
+  out << "target=" << to_string(target);
+  out << ", " << "part=" << to_string(part);
+  out << ")";
+}
+
+
 LoadReport::~LoadReport() noexcept {
 }
 
@@ -2629,6 +2741,10 @@
 void LoadReport::__set_pressed(const bool val) {
   this->pressed = val;
 }
+
+void LoadReport::__set_reads(const std::vector<PartRead> & val) {
+  this->reads = val;
+}
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
 {
   obj.printTo(out);
@@ -2661,14 +2777,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->targets.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->targets.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->targets[_i82].read(iprot);
+              xfer += this->targets[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2681,14 +2797,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accounts.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->accounts.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->accounts.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
             {
-              xfer += this->accounts[_i87].read(iprot);
+              xfer += this->accounts[_i89].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2737,6 +2853,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->reads.clear();
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->reads.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
+            {
+              xfer += this->reads[_i94].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.reads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2757,10 +2893,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<TargetUse> ::const_iterator _iter88;
-    for (_iter88 = this->targets.begin(); _iter88 != this->targets.end(); ++_iter88)
+    std::vector<TargetUse> ::const_iterator _iter95;
+    for (_iter95 = this->targets.begin(); _iter95 != this->targets.end(); ++_iter95)
     {
-      xfer += (*_iter88).write(oprot);
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2769,10 +2905,10 @@
   xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<AccountUse> ::const_iterator _iter89;
-    for (_iter89 = this->accounts.begin(); _iter89 != this->accounts.end(); ++_iter89)
+    std::vector<AccountUse> ::const_iterator _iter96;
+    for (_iter96 = this->accounts.begin(); _iter96 != this->accounts.end(); ++_iter96)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter96).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2798,6 +2934,18 @@
   xfer += oprot->writeBool(this->pressed);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("reads", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reads.size()));
+    std::vector<PartRead> ::const_iterator _iter97;
+    for (_iter97 = this->reads.begin(); _iter97 != this->reads.end(); ++_iter97)
+    {
+      xfer += (*_iter97).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2812,28 +2960,31 @@
   swap(a.stampMicros, b.stampMicros);
   swap(a.echoMicros, b.echoMicros);
   swap(a.pressed, b.pressed);
+  swap(a.reads, b.reads);
   swap(a.__isset, b.__isset);
 }
 
-LoadReport::LoadReport(const LoadReport& other90) {
-  targets = other90.targets;
-  accounts = other90.accounts;
-  configVersion = other90.configVersion;
-  configAgeMicros = other90.configAgeMicros;
-  stampMicros = other90.stampMicros;
-  echoMicros = other90.echoMicros;
-  pressed = other90.pressed;
-  __isset = other90.__isset;
-}
-LoadReport& LoadReport::operator=(const LoadReport& other91) {
-  targets = other91.targets;
-  accounts = other91.accounts;
-  configVersion = other91.configVersion;
-  configAgeMicros = other91.configAgeMicros;
-  stampMicros = other91.stampMicros;
-  echoMicros = other91.echoMicros;
-  pressed = other91.pressed;
-  __isset = other91.__isset;
+LoadReport::LoadReport(const LoadReport& other98) {
+  targets = other98.targets;
+  accounts = other98.accounts;
+  configVersion = other98.configVersion;
+  configAgeMicros = other98.configAgeMicros;
+  stampMicros = other98.stampMicros;
+  echoMicros = other98.echoMicros;
+  pressed = other98.pressed;
+  reads = other98.reads;
+  __isset = other98.__isset;
+}
+LoadReport& LoadReport::operator=(const LoadReport& other99) {
+  targets = other99.targets;
+  accounts = other99.accounts;
+  configVersion = other99.configVersion;
+  configAgeMicros = other99.configAgeMicros;
+  stampMicros = other99.stampMicros;
+  echoMicros = other99.echoMicros;
+  pressed = other99.pressed;
+  reads = other99.reads;
+  __isset = other99.__isset;
   return *this;
 }
 void LoadReport::printTo(std::ostream& out) const {
@@ -2846,6 +2997,7 @@
   out << ", " << "stampMicros=" << to_string(stampMicros);
   out << ", " << "echoMicros=" << to_string(echoMicros);
   out << ", " << "pressed=" << to_string(pressed);
+  out << ", " << "reads=" << to_string(reads);
   out << ")";
 }
 
@@ -2993,21 +3145,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ListNews::ListNews(const ListNews& other92) {
-  sharedList = other92.sharedList;
-  fromOffset = other92.fromOffset;
-  toOffset = other92.toOffset;
-  reachable = other92.reachable;
-  batch = other92.batch;
-  __isset = other92.__isset;
-}
-ListNews& ListNews::operator=(const ListNews& other93) {
-  sharedList = other93.sharedList;
-  fromOffset = other93.fromOffset;
-  toOffset = other93.toOffset;
-  reachable = other93.reachable;
-  batch = other93.batch;
-  __isset = other93.__isset;
+ListNews::ListNews(const ListNews& other100) {
+  sharedList = other100.sharedList;
+  fromOffset = other100.fromOffset;
+  toOffset = other100.toOffset;
+  reachable = other100.reachable;
+  batch = other100.batch;
+  __isset = other100.__isset;
+}
+ListNews& ListNews::operator=(const ListNews& other101) {
+  sharedList = other101.sharedList;
+  fromOffset = other101.fromOffset;
+  toOffset = other101.toOffset;
+  reachable = other101.reachable;
+  batch = other101.batch;
+  __isset = other101.__isset;
   return *this;
 }
 void ListNews::printTo(std::ostream& out) const {
@@ -3077,14 +3229,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->waiting.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->waiting.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += iprot->readI32(this->waiting[_i98]);
+              xfer += iprot->readI32(this->waiting[_i106]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3097,14 +3249,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->charged.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->charged.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->charged.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
             {
-              xfer += iprot->readI64(this->charged[_i103]);
+              xfer += iprot->readI64(this->charged[_i111]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3137,10 +3289,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<int32_t> ::const_iterator _iter104;
-    for (_iter104 = this->waiting.begin(); _iter104 != this->waiting.end(); ++_iter104)
+    std::vector<int32_t> ::const_iterator _iter112;
+    for (_iter112 = this->waiting.begin(); _iter112 != this->waiting.end(); ++_iter112)
     {
-      xfer += oprot->writeI32((*_iter104));
+      xfer += oprot->writeI32((*_iter112));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3149,10 +3301,10 @@
   xfer += oprot->writeFieldBegin("charged", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->charged.size()));
-    std::vector<int64_t> ::const_iterator _iter105;
-    for (_iter105 = this->charged.begin(); _iter105 != this->charged.end(); ++_iter105)
+    std::vector<int64_t> ::const_iterator _iter113;
+    for (_iter113 = this->charged.begin(); _iter113 != this->charged.end(); ++_iter113)
     {
-      xfer += oprot->writeI64((*_iter105));
+      xfer += oprot->writeI64((*_iter113));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3171,17 +3323,17 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandColumns::DemandColumns(const DemandColumns& other106) {
-  accounts = other106.accounts;
-  waiting = other106.waiting;
-  charged = other106.charged;
-  __isset = other106.__isset;
+DemandColumns::DemandColumns(const DemandColumns& other114) {
+  accounts = other114.accounts;
+  waiting = other114.waiting;
+  charged = other114.charged;
+  __isset = other114.__isset;
 }
-DemandColumns& DemandColumns::operator=(const DemandColumns& other107) {
-  accounts = other107.accounts;
-  waiting = other107.waiting;
-  charged = other107.charged;
-  __isset = other107.__isset;
+DemandColumns& DemandColumns::operator=(const DemandColumns& other115) {
+  accounts = other115.accounts;
+  waiting = other115.waiting;
+  charged = other115.charged;
+  __isset = other115.__isset;
   return *this;
 }
 void DemandColumns::printTo(std::ostream& out) const {
@@ -3249,14 +3401,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->held.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->held.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              xfer += iprot->readI32(this->held[_i112]);
+              xfer += iprot->readI32(this->held[_i120]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3269,14 +3421,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->idle.clear();
-            uint32_t _size113;
-            ::apache::thrift::protocol::TType _etype116;
-            xfer += iprot->readListBegin(_etype116, _size113);
-            this->idle.resize(_size113);
-            uint32_t _i117;
-            for (_i117 = 0; _i117 < _size113; ++_i117)
+            uint32_t _size121;
+            ::apache::thrift::protocol::TType _etype124;
+            xfer += iprot->readListBegin(_etype124, _size121);
+            this->idle.resize(_size121);
+            uint32_t _i125;
+            for (_i125 = 0; _i125 < _size121; ++_i125)
             {
-              xfer += iprot->readI32(this->idle[_i117]);
+              xfer += iprot->readI32(this->idle[_i125]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3309,10 +3461,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->held.size()));
-    std::vector<int32_t> ::const_iterator _iter118;
-    for (_iter118 = this->held.begin(); _iter118 != this->held.end(); ++_iter118)
+    std::vector<int32_t> ::const_iterator _iter126;
+    for (_iter126 = this->held.begin(); _iter126 != this->held.end(); ++_iter126)
     {
-      xfer += oprot->writeI32((*_iter118));
+      xfer += oprot->writeI32((*_iter126));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3321,10 +3473,10 @@
   xfer += oprot->writeFieldBegin("idle", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->idle.size()));
-    std::vector<int32_t> ::const_iterator _iter119;
-    for (_iter119 = this->idle.begin(); _iter119 != this->idle.end(); ++_iter119)
+    std::vector<int32_t> ::const_iterator _iter127;
+    for (_iter127 = this->idle.begin(); _iter127 != this->idle.end(); ++_iter127)
     {
-      xfer += oprot->writeI32((*_iter119));
+      xfer += oprot->writeI32((*_iter127));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3343,17 +3495,17 @@
   swap(a.__isset, b.__isset);
 }
 
-HeldColumns::HeldColumns(const HeldColumns& other120) {
-  targets = other120.targets;
-  held = other120.held;
-  idle = other120.idle;
-  __isset = other120.__isset;
+HeldColumns::HeldColumns(const HeldColumns& other128) {
+  targets = other128.targets;
+  held = other128.held;
+  idle = other128.idle;
+  __isset = other128.__isset;
 }
-HeldColumns& HeldColumns::operator=(const HeldColumns& other121) {
-  targets = other121.targets;
-  held = other121.held;
-  idle = other121.idle;
-  __isset = other121.__isset;
+HeldColumns& HeldColumns::operator=(const HeldColumns& other129) {
+  targets = other129.targets;
+  held = other129.held;
+  idle = other129.idle;
+  __isset = other129.__isset;
   return *this;
 }
 void HeldColumns::printTo(std::ostream& out) const {
@@ -3421,14 +3573,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size122;
-            ::apache::thrift::protocol::TType _etype125;
-            xfer += iprot->readListBegin(_etype125, _size122);
-            this->counts.resize(_size122);
-            uint32_t _i126;
-            for (_i126 = 0; _i126 < _size122; ++_i126)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->counts.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += iprot->readI32(this->counts[_i126]);
+              xfer += iprot->readI32(this->counts[_i134]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3469,10 +3621,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
-    std::vector<int32_t> ::const_iterator _iter127;
-    for (_iter127 = this->counts.begin(); _iter127 != this->counts.end(); ++_iter127)
+    std::vector<int32_t> ::const_iterator _iter135;
+    for (_iter135 = this->counts.begin(); _iter135 != this->counts.end(); ++_iter135)
     {
-      xfer += oprot->writeI32((*_iter127));
+      xfer += oprot->writeI32((*_iter135));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3495,17 +3647,17 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantColumns::GrantColumns(const GrantColumns& other128) {
-  targets = other128.targets;
-  counts = other128.counts;
-  accounts = other128.accounts;
-  __isset = other128.__isset;
+GrantColumns::GrantColumns(const GrantColumns& other136) {
+  targets = other136.targets;
+  counts = other136.counts;
+  accounts = other136.accounts;
+  __isset = other136.__isset;
 }
-GrantColumns& GrantColumns::operator=(const GrantColumns& other129) {
-  targets = other129.targets;
-  counts = other129.counts;
-  accounts = other129.accounts;
-  __isset = other129.__isset;
+GrantColumns& GrantColumns::operator=(const GrantColumns& other137) {
+  targets = other137.targets;
+  counts = other137.counts;
+  accounts = other137.accounts;
+  __isset = other137.__isset;
   return *this;
 }
 void GrantColumns::printTo(std::ostream& out) const {
@@ -3569,14 +3721,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tags.clear();
-            uint32_t _size130;
-            ::apache::thrift::protocol::TType _etype133;
-            xfer += iprot->readListBegin(_etype133, _size130);
-            this->tags.resize(_size130);
-            uint32_t _i134;
-            for (_i134 = 0; _i134 < _size130; ++_i134)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->tags.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += iprot->readI64(this->tags[_i134]);
+              xfer += iprot->readI64(this->tags[_i142]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3609,10 +3761,10 @@
   xfer += oprot->writeFieldBegin("tags", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tags.size()));
-    std::vector<int64_t> ::const_iterator _iter135;
-    for (_iter135 = this->tags.begin(); _iter135 != this->tags.end(); ++_iter135)
+    std::vector<int64_t> ::const_iterator _iter143;
+    for (_iter143 = this->tags.begin(); _iter143 != this->tags.end(); ++_iter143)
     {
-      xfer += oprot->writeI64((*_iter135));
+      xfer += oprot->writeI64((*_iter143));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3630,15 +3782,15 @@
   swap(a.__isset, b.__isset);
 }
 
-TagColumns::TagColumns(const TagColumns& other136) {
-  accounts = other136.accounts;
-  tags = other136.tags;
-  __isset = other136.__isset;
+TagColumns::TagColumns(const TagColumns& other144) {
+  accounts = other144.accounts;
+  tags = other144.tags;
+  __isset = other144.__isset;
 }
-TagColumns& TagColumns::operator=(const TagColumns& other137) {
-  accounts = other137.accounts;
-  tags = other137.tags;
-  __isset = other137.__isset;
+TagColumns& TagColumns::operator=(const TagColumns& other145) {
+  accounts = other145.accounts;
+  tags = other145.tags;
+  __isset = other145.__isset;
   return *this;
 }
 void TagColumns::printTo(std::ostream& out) const {
@@ -3705,14 +3857,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->charged.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->charged.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _etype149;
+            xfer += iprot->readListBegin(_etype149, _size146);
+            this->charged.resize(_size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
             {
-              xfer += iprot->readI64(this->charged[_i142]);
+              xfer += iprot->readI64(this->charged[_i150]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3725,14 +3877,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tags.clear();
-            uint32_t _size143;
-            ::apache::thrift::protocol::TType _etype146;
-            xfer += iprot->readListBegin(_etype146, _size143);
-            this->tags.resize(_size143);
-            uint32_t _i147;
-            for (_i147 = 0; _i147 < _size143; ++_i147)
+            uint32_t _size151;
+            ::apache::thrift::protocol::TType _etype154;
+            xfer += iprot->readListBegin(_etype154, _size151);
+            this->tags.resize(_size151);
+            uint32_t _i155;
+            for (_i155 = 0; _i155 < _size151; ++_i155)
             {
-              xfer += iprot->readI64(this->tags[_i147]);
+              xfer += iprot->readI64(this->tags[_i155]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3765,10 +3917,10 @@
   xfer += oprot->writeFieldBegin("charged", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->charged.size()));
-    std::vector<int64_t> ::const_iterator _iter148;
-    for (_iter148 = this->charged.begin(); _iter148 != this->charged.end(); ++_iter148)
+    std::vector<int64_t> ::const_iterator _iter156;
+    for (_iter156 = this->charged.begin(); _iter156 != this->charged.end(); ++_iter156)
     {
-      xfer += oprot->writeI64((*_iter148));
+      xfer += oprot->writeI64((*_iter156));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3777,10 +3929,10 @@
   xfer += oprot->writeFieldBegin("tags", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tags.size()));
-    std::vector<int64_t> ::const_iterator _iter149;
-    for (_iter149 = this->tags.begin(); _iter149 != this->tags.end(); ++_iter149)
+    std::vector<int64_t> ::const_iterator _iter157;
+    for (_iter157 = this->tags.begin(); _iter157 != this->tags.end(); ++_iter157)
     {
-      xfer += oprot->writeI64((*_iter149));
+      xfer += oprot->writeI64((*_iter157));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3799,17 +3951,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ExchangeColumns::ExchangeColumns(const ExchangeColumns& other150) {
-  accounts = other150.accounts;
-  charged = other150.charged;
-  tags = other150.tags;
-  __isset = other150.__isset;
+ExchangeColumns::ExchangeColumns(const ExchangeColumns& other158) {
+  accounts = other158.accounts;
+  charged = other158.charged;
+  tags = other158.tags;
+  __isset = other158.__isset;
 }
-ExchangeColumns& ExchangeColumns::operator=(const ExchangeColumns& other151) {
-  accounts = other151.accounts;
-  charged = other151.charged;
-  tags = other151.tags;
-  __isset = other151.__isset;
+ExchangeColumns& ExchangeColumns::operator=(const ExchangeColumns& other159) {
+  accounts = other159.accounts;
+  charged = other159.charged;
+  tags = other159.tags;
+  __isset = other159.__isset;
   return *this;
 }
 void ExchangeColumns::printTo(std::ostream& out) const {
@@ -3822,42 +3974,33 @@
 }
 
 
-RowColumns::~RowColumns() noexcept {
+TargetUseColumns::~TargetUseColumns() noexcept {
 }
 
 
-void RowColumns::__set_demand(const DemandColumns& val) {
-  this->demand = val;
-__isset.demand = true;
-}
-
-void RowColumns::__set_held(const HeldColumns& val) {
-  this->held = val;
-__isset.held = true;
+void TargetUseColumns::__set_targets(const std::string& val) {
+  this->targets = val;
 }
 
-void RowColumns::__set_grants(const GrantColumns& val) {
-  this->grants = val;
-__isset.grants = true;
+void TargetUseColumns::__set_prefillTokens(const std::vector<int32_t> & val) {
+  this->prefillTokens = val;
 }
 
-void RowColumns::__set_tags(const TagColumns& val) {
-  this->tags = val;
-__isset.tags = true;
+void TargetUseColumns::__set_running(const std::vector<int32_t> & val) {
+  this->running = val;
 }
 
-void RowColumns::__set_exchange(const ExchangeColumns& val) {
-  this->exchange = val;
-__isset.exchange = true;
+void TargetUseColumns::__set_memoryTokens(const std::vector<int32_t> & val) {
+  this->memoryTokens = val;
 }
-std::ostream& operator<<(std::ostream& out, const RowColumns& obj)
+std::ostream& operator<<(std::ostream& out, const TargetUseColumns& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RowColumns::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t TargetUseColumns::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3879,41 +4022,69 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->demand.read(iprot);
-          this->__isset.demand = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->targets);
+          this->__isset.targets = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->held.read(iprot);
-          this->__isset.held = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->prefillTokens.clear();
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->prefillTokens.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
+            {
+              xfer += iprot->readI32(this->prefillTokens[_i164]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.prefillTokens = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->grants.read(iprot);
-          this->__isset.grants = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->running.clear();
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->running.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
+            {
+              xfer += iprot->readI32(this->running[_i169]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.running = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->tags.read(iprot);
-          this->__isset.tags = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->exchange.read(iprot);
-          this->__isset.exchange = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->memoryTokens.clear();
+            uint32_t _size170;
+            ::apache::thrift::protocol::TType _etype173;
+            xfer += iprot->readListBegin(_etype173, _size170);
+            this->memoryTokens.resize(_size170);
+            uint32_t _i174;
+            for (_i174 = 0; _i174 < _size170; ++_i174)
+            {
+              xfer += iprot->readI32(this->memoryTokens[_i174]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.memoryTokens = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3930,36 +4101,567 @@
   return xfer;
 }
 
-uint32_t RowColumns::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t TargetUseColumns::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RowColumns");
+  xfer += oprot->writeStructBegin("TargetUseColumns");
 
-  if (this->__isset.demand) {
-    xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->demand.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.held) {
-    xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->held.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->targets);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prefillTokens", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->prefillTokens.size()));
+    std::vector<int32_t> ::const_iterator _iter175;
+    for (_iter175 = this->prefillTokens.begin(); _iter175 != this->prefillTokens.end(); ++_iter175)
+    {
+      xfer += oprot->writeI32((*_iter175));
+    }
+    xfer += oprot->writeListEnd();
   }
-  if (this->__isset.grants) {
-    xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->grants.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
+    std::vector<int32_t> ::const_iterator _iter176;
+    for (_iter176 = this->running.begin(); _iter176 != this->running.end(); ++_iter176)
+    {
+      xfer += oprot->writeI32((*_iter176));
+    }
+    xfer += oprot->writeListEnd();
   }
-  if (this->__isset.tags) {
-    xfer += oprot->writeFieldBegin("tags", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->tags.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("memoryTokens", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->memoryTokens.size()));
+    std::vector<int32_t> ::const_iterator _iter177;
+    for (_iter177 = this->memoryTokens.begin(); _iter177 != this->memoryTokens.end(); ++_iter177)
+    {
+      xfer += oprot->writeI32((*_iter177));
+    }
+    xfer += oprot->writeListEnd();
   }
-  if (this->__isset.exchange) {
-    xfer += oprot->writeFieldBegin("exchange", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetUseColumns &a, TargetUseColumns &b) {
+  using ::std::swap;
+  swap(a.targets, b.targets);
+  swap(a.prefillTokens, b.prefillTokens);
+  swap(a.running, b.running);
+  swap(a.memoryTokens, b.memoryTokens);
+  swap(a.__isset, b.__isset);
+}
+
+TargetUseColumns::TargetUseColumns(const TargetUseColumns& other178) {
+  targets = other178.targets;
+  prefillTokens = other178.prefillTokens;
+  running = other178.running;
+  memoryTokens = other178.memoryTokens;
+  __isset = other178.__isset;
+}
+TargetUseColumns& TargetUseColumns::operator=(const TargetUseColumns& other179) {
+  targets = other179.targets;
+  prefillTokens = other179.prefillTokens;
+  running = other179.running;
+  memoryTokens = other179.memoryTokens;
+  __isset = other179.__isset;
+  return *this;
+}
+void TargetUseColumns::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetUseColumns(";
+  out << "targets=" << to_string(targets);
+  out << ", " << "prefillTokens=" << to_string(prefillTokens);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "memoryTokens=" << to_string(memoryTokens);
+  out << ")";
+}
+
+
+AccountUseColumns::~AccountUseColumns() noexcept {
+}
+
+
+void AccountUseColumns::__set_accounts(const std::string& val) {
+  this->accounts = val;
+}
+
+void AccountUseColumns::__set_askedTokens(const std::vector<int64_t> & val) {
+  this->askedTokens = val;
+}
+
+void AccountUseColumns::__set_givenTokens(const std::vector<int64_t> & val) {
+  this->givenTokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const AccountUseColumns& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AccountUseColumns::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->accounts);
+          this->__isset.accounts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->askedTokens.clear();
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _etype183;
+            xfer += iprot->readListBegin(_etype183, _size180);
+            this->askedTokens.resize(_size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
+            {
+              xfer += iprot->readI64(this->askedTokens[_i184]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.askedTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->givenTokens.clear();
+            uint32_t _size185;
+            ::apache::thrift::protocol::TType _etype188;
+            xfer += iprot->readListBegin(_etype188, _size185);
+            this->givenTokens.resize(_size185);
+            uint32_t _i189;
+            for (_i189 = 0; _i189 < _size185; ++_i189)
+            {
+              xfer += iprot->readI64(this->givenTokens[_i189]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.givenTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AccountUseColumns::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AccountUseColumns");
+
+  xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->accounts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("askedTokens", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->askedTokens.size()));
+    std::vector<int64_t> ::const_iterator _iter190;
+    for (_iter190 = this->askedTokens.begin(); _iter190 != this->askedTokens.end(); ++_iter190)
+    {
+      xfer += oprot->writeI64((*_iter190));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("givenTokens", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->givenTokens.size()));
+    std::vector<int64_t> ::const_iterator _iter191;
+    for (_iter191 = this->givenTokens.begin(); _iter191 != this->givenTokens.end(); ++_iter191)
+    {
+      xfer += oprot->writeI64((*_iter191));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AccountUseColumns &a, AccountUseColumns &b) {
+  using ::std::swap;
+  swap(a.accounts, b.accounts);
+  swap(a.askedTokens, b.askedTokens);
+  swap(a.givenTokens, b.givenTokens);
+  swap(a.__isset, b.__isset);
+}
+
+AccountUseColumns::AccountUseColumns(const AccountUseColumns& other192) {
+  accounts = other192.accounts;
+  askedTokens = other192.askedTokens;
+  givenTokens = other192.givenTokens;
+  __isset = other192.__isset;
+}
+AccountUseColumns& AccountUseColumns::operator=(const AccountUseColumns& other193) {
+  accounts = other193.accounts;
+  askedTokens = other193.askedTokens;
+  givenTokens = other193.givenTokens;
+  __isset = other193.__isset;
+  return *this;
+}
+void AccountUseColumns::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AccountUseColumns(";
+  out << "accounts=" << to_string(accounts);
+  out << ", " << "askedTokens=" << to_string(askedTokens);
+  out << ", " << "givenTokens=" << to_string(givenTokens);
+  out << ")";
+}
+
+
+PartReadColumns::~PartReadColumns() noexcept {
+}
+
+
+void PartReadColumns::__set_targets(const std::string& val) {
+  this->targets = val;
+}
+
+void PartReadColumns::__set_parts(const std::string& val) {
+  this->parts = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartReadColumns& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartReadColumns::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->targets);
+          this->__isset.targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->parts);
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartReadColumns::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartReadColumns");
+
+  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->targets);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->parts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartReadColumns &a, PartReadColumns &b) {
+  using ::std::swap;
+  swap(a.targets, b.targets);
+  swap(a.parts, b.parts);
+  swap(a.__isset, b.__isset);
+}
+
+PartReadColumns::PartReadColumns(const PartReadColumns& other194) {
+  targets = other194.targets;
+  parts = other194.parts;
+  __isset = other194.__isset;
+}
+PartReadColumns& PartReadColumns::operator=(const PartReadColumns& other195) {
+  targets = other195.targets;
+  parts = other195.parts;
+  __isset = other195.__isset;
+  return *this;
+}
+void PartReadColumns::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartReadColumns(";
+  out << "targets=" << to_string(targets);
+  out << ", " << "parts=" << to_string(parts);
+  out << ")";
+}
+
+
+RowColumns::~RowColumns() noexcept {
+}
+
+
+void RowColumns::__set_demand(const DemandColumns& val) {
+  this->demand = val;
+__isset.demand = true;
+}
+
+void RowColumns::__set_held(const HeldColumns& val) {
+  this->held = val;
+__isset.held = true;
+}
+
+void RowColumns::__set_grants(const GrantColumns& val) {
+  this->grants = val;
+__isset.grants = true;
+}
+
+void RowColumns::__set_tags(const TagColumns& val) {
+  this->tags = val;
+__isset.tags = true;
+}
+
+void RowColumns::__set_exchange(const ExchangeColumns& val) {
+  this->exchange = val;
+__isset.exchange = true;
+}
+
+void RowColumns::__set_targets(const TargetUseColumns& val) {
+  this->targets = val;
+__isset.targets = true;
+}
+
+void RowColumns::__set_accounts(const AccountUseColumns& val) {
+  this->accounts = val;
+__isset.accounts = true;
+}
+
+void RowColumns::__set_reads(const PartReadColumns& val) {
+  this->reads = val;
+__isset.reads = true;
+}
+std::ostream& operator<<(std::ostream& out, const RowColumns& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RowColumns::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->demand.read(iprot);
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->held.read(iprot);
+          this->__isset.held = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->grants.read(iprot);
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->tags.read(iprot);
+          this->__isset.tags = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->exchange.read(iprot);
+          this->__isset.exchange = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->targets.read(iprot);
+          this->__isset.targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->accounts.read(iprot);
+          this->__isset.accounts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->reads.read(iprot);
+          this->__isset.reads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RowColumns::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RowColumns");
+
+  if (this->__isset.demand) {
+    xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->demand.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.held) {
+    xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->held.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.grants) {
+    xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->grants.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.tags) {
+    xfer += oprot->writeFieldBegin("tags", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->tags.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.exchange) {
+    xfer += oprot->writeFieldBegin("exchange", ::apache::thrift::protocol::T_STRUCT, 5);
     xfer += this->exchange.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.targets) {
+    xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->targets.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.accounts) {
+    xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->accounts.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.reads) {
+    xfer += oprot->writeFieldBegin("reads", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->reads.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3972,24 +4674,33 @@
   swap(a.grants, b.grants);
   swap(a.tags, b.tags);
   swap(a.exchange, b.exchange);
+  swap(a.targets, b.targets);
+  swap(a.accounts, b.accounts);
+  swap(a.reads, b.reads);
   swap(a.__isset, b.__isset);
 }
 
-RowColumns::RowColumns(const RowColumns& other152) {
-  demand = other152.demand;
-  held = other152.held;
-  grants = other152.grants;
-  tags = other152.tags;
-  exchange = other152.exchange;
-  __isset = other152.__isset;
-}
-RowColumns& RowColumns::operator=(const RowColumns& other153) {
-  demand = other153.demand;
-  held = other153.held;
-  grants = other153.grants;
-  tags = other153.tags;
-  exchange = other153.exchange;
-  __isset = other153.__isset;
+RowColumns::RowColumns(const RowColumns& other196) {
+  demand = other196.demand;
+  held = other196.held;
+  grants = other196.grants;
+  tags = other196.tags;
+  exchange = other196.exchange;
+  targets = other196.targets;
+  accounts = other196.accounts;
+  reads = other196.reads;
+  __isset = other196.__isset;
+}
+RowColumns& RowColumns::operator=(const RowColumns& other197) {
+  demand = other197.demand;
+  held = other197.held;
+  grants = other197.grants;
+  tags = other197.tags;
+  exchange = other197.exchange;
+  targets = other197.targets;
+  accounts = other197.accounts;
+  reads = other197.reads;
+  __isset = other197.__isset;
   return *this;
 }
 void RowColumns::printTo(std::ostream& out) const {
@@ -4000,6 +4711,9 @@
   out << ", " << "grants="; (__isset.grants ? (out << to_string(grants)) : (out << "<null>"));
   out << ", " << "tags="; (__isset.tags ? (out << to_string(tags)) : (out << "<null>"));
   out << ", " << "exchange="; (__isset.exchange ? (out << to_string(exchange)) : (out << "<null>"));
+  out << ", " << "targets="; (__isset.targets ? (out << to_string(targets)) : (out << "<null>"));
+  out << ", " << "accounts="; (__isset.accounts ? (out << to_string(accounts)) : (out << "<null>"));
+  out << ", " << "reads="; (__isset.reads ? (out << to_string(reads)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4267,33 +4981,33 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other154) {
-  sender = other154.sender;
-  incarnation = other154.incarnation;
-  heartbeat = other154.heartbeat;
-  demand = other154.demand;
-  grants = other154.grants;
-  exchange = other154.exchange;
-  configOffer = other154.configOffer;
-  configRequest = other154.configRequest;
-  load = other154.load;
-  listNews = other154.listNews;
-  columns = other154.columns;
-  __isset = other154.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other155) {
-  sender = other155.sender;
-  incarnation = other155.incarnation;
-  heartbeat = other155.heartbeat;
-  demand = other155.demand;
-  grants = other155.grants;
-  exchange = other155.exchange;
-  configOffer = other155.configOffer;
-  configRequest = other155.configRequest;
-  load = other155.load;
-  listNews = other155.listNews;
-  columns = other155.columns;
-  __isset = other155.__isset;
+Envelope::Envelope(const Envelope& other198) {
+  sender = other198.sender;
+  incarnation = other198.incarnation;
+  heartbeat = other198.heartbeat;
+  demand = other198.demand;
+  grants = other198.grants;
+  exchange = other198.exchange;
+  configOffer = other198.configOffer;
+  configRequest = other198.configRequest;
+  load = other198.load;
+  listNews = other198.listNews;
+  columns = other198.columns;
+  __isset = other198.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other199) {
+  sender = other199.sender;
+  incarnation = other199.incarnation;
+  heartbeat = other199.heartbeat;
+  demand = other199.demand;
+  grants = other199.grants;
+  exchange = other199.exchange;
+  configOffer = other199.configOffer;
+  configRequest = other199.configRequest;
+  load = other199.load;
+  listNews = other199.listNews;
+  columns = other199.columns;
+  __isset = other199.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen/peer_types.h
+++ b/src/wire/gen/peer_types.h
@@ -51,6 +51,8 @@
 
 class AccountUse;
 
+class PartRead;
+
 class LoadReport;
 
 class ListNews;
@@ -65,6 +67,12 @@
 
 class ExchangeColumns;
 
+class TargetUseColumns;
+
+class AccountUseColumns;
+
+class PartReadColumns;
+
 class RowColumns;
 
 class Envelope;
@@ -1074,8 +1082,58 @@
 
 std::ostream& operator<<(std::ostream& out, const AccountUse& obj);
 
+typedef struct _PartRead__isset {
+  _PartRead__isset() : target(false), part(false) {}
+  bool target :1;
+  bool part :1;
+} _PartRead__isset;
+
+class PartRead : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartRead(const PartRead&) noexcept;
+  PartRead& operator=(const PartRead&) noexcept;
+  PartRead() noexcept
+           : target(0),
+             part(0) {
+  }
+
+  virtual ~PartRead() noexcept;
+  int32_t target;
+  int64_t part;
+
+  _PartRead__isset __isset;
+
+  void __set_target(const int32_t val);
+
+  void __set_part(const int64_t val);
+
+  bool operator == (const PartRead & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(part == rhs.part))
+      return false;
+    return true;
+  }
+  bool operator != (const PartRead &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartRead & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartRead &a, PartRead &b);
+
+std::ostream& operator<<(std::ostream& out, const PartRead& obj);
+
 typedef struct _LoadReport__isset {
-  _LoadReport__isset() : targets(false), accounts(false), configVersion(false), configAgeMicros(false), stampMicros(false), echoMicros(false), pressed(false) {}
+  _LoadReport__isset() : targets(false), accounts(false), configVersion(false), configAgeMicros(false), stampMicros(false), echoMicros(false), pressed(false), reads(false) {}
   bool targets :1;
   bool accounts :1;
   bool configVersion :1;
@@ -1083,6 +1141,7 @@
   bool stampMicros :1;
   bool echoMicros :1;
   bool pressed :1;
+  bool reads :1;
 } _LoadReport__isset;
 
 class LoadReport : public virtual ::apache::thrift::TBase {
@@ -1106,6 +1165,7 @@
   int64_t stampMicros;
   int64_t echoMicros;
   bool pressed;
+  std::vector<PartRead>  reads;
 
   _LoadReport__isset __isset;
 
@@ -1123,6 +1183,8 @@
 
   void __set_pressed(const bool val);
 
+  void __set_reads(const std::vector<PartRead> & val);
+
   bool operator == (const LoadReport & rhs) const
   {
     if (!(targets == rhs.targets))
@@ -1139,6 +1201,8 @@
       return false;
     if (!(pressed == rhs.pressed))
       return false;
+    if (!(reads == rhs.reads))
+      return false;
     return true;
   }
   bool operator != (const LoadReport &rhs) const {
@@ -1498,13 +1562,182 @@
 
 std::ostream& operator<<(std::ostream& out, const ExchangeColumns& obj);
 
+typedef struct _TargetUseColumns__isset {
+  _TargetUseColumns__isset() : targets(false), prefillTokens(false), running(false), memoryTokens(false) {}
+  bool targets :1;
+  bool prefillTokens :1;
+  bool running :1;
+  bool memoryTokens :1;
+} _TargetUseColumns__isset;
+
+class TargetUseColumns : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetUseColumns(const TargetUseColumns&);
+  TargetUseColumns& operator=(const TargetUseColumns&);
+  TargetUseColumns() noexcept
+                   : targets() {
+  }
+
+  virtual ~TargetUseColumns() noexcept;
+  std::string targets;
+  std::vector<int32_t>  prefillTokens;
+  std::vector<int32_t>  running;
+  std::vector<int32_t>  memoryTokens;
+
+  _TargetUseColumns__isset __isset;
+
+  void __set_targets(const std::string& val);
+
+  void __set_prefillTokens(const std::vector<int32_t> & val);
+
+  void __set_running(const std::vector<int32_t> & val);
+
+  void __set_memoryTokens(const std::vector<int32_t> & val);
+
+  bool operator == (const TargetUseColumns & rhs) const
+  {
+    if (!(targets == rhs.targets))
+      return false;
+    if (!(prefillTokens == rhs.prefillTokens))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(memoryTokens == rhs.memoryTokens))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetUseColumns &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetUseColumns & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetUseColumns &a, TargetUseColumns &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetUseColumns& obj);
+
+typedef struct _AccountUseColumns__isset {
+  _AccountUseColumns__isset() : accounts(false), askedTokens(false), givenTokens(false) {}
+  bool accounts :1;
+  bool askedTokens :1;
+  bool givenTokens :1;
+} _AccountUseColumns__isset;
+
+class AccountUseColumns : public virtual ::apache::thrift::TBase {
+ public:
+
+  AccountUseColumns(const AccountUseColumns&);
+  AccountUseColumns& operator=(const AccountUseColumns&);
+  AccountUseColumns() noexcept
+                    : accounts() {
+  }
+
+  virtual ~AccountUseColumns() noexcept;
+  std::string accounts;
+  std::vector<int64_t>  askedTokens;
+  std::vector<int64_t>  givenTokens;
+
+  _AccountUseColumns__isset __isset;
+
+  void __set_accounts(const std::string& val);
+
+  void __set_askedTokens(const std::vector<int64_t> & val);
+
+  void __set_givenTokens(const std::vector<int64_t> & val);
+
+  bool operator == (const AccountUseColumns & rhs) const
+  {
+    if (!(accounts == rhs.accounts))
+      return false;
+    if (!(askedTokens == rhs.askedTokens))
+      return false;
+    if (!(givenTokens == rhs.givenTokens))
+      return false;
+    return true;
+  }
+  bool operator != (const AccountUseColumns &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AccountUseColumns & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AccountUseColumns &a, AccountUseColumns &b);
+
+std::ostream& operator<<(std::ostream& out, const AccountUseColumns& obj);
+
+typedef struct _PartReadColumns__isset {
+  _PartReadColumns__isset() : targets(false), parts(false) {}
+  bool targets :1;
+  bool parts :1;
+} _PartReadColumns__isset;
+
+class PartReadColumns : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartReadColumns(const PartReadColumns&);
+  PartReadColumns& operator=(const PartReadColumns&);
+  PartReadColumns() noexcept
+                  : targets(),
+                    parts() {
+  }
+
+  virtual ~PartReadColumns() noexcept;
+  std::string targets;
+  std::string parts;
+
+  _PartReadColumns__isset __isset;
+
+  void __set_targets(const std::string& val);
+
+  void __set_parts(const std::string& val);
+
+  bool operator == (const PartReadColumns & rhs) const
+  {
+    if (!(targets == rhs.targets))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    return true;
+  }
+  bool operator != (const PartReadColumns &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartReadColumns & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartReadColumns &a, PartReadColumns &b);
+
+std::ostream& operator<<(std::ostream& out, const PartReadColumns& obj);
+
 typedef struct _RowColumns__isset {
-  _RowColumns__isset() : demand(false), held(false), grants(false), tags(false), exchange(false) {}
+  _RowColumns__isset() : demand(false), held(false), grants(false), tags(false), exchange(false), targets(false), accounts(false), reads(false) {}
   bool demand :1;
   bool held :1;
   bool grants :1;
   bool tags :1;
   bool exchange :1;
+  bool targets :1;
+  bool accounts :1;
+  bool reads :1;
 } _RowColumns__isset;
 
 class RowColumns : public virtual ::apache::thrift::TBase {
@@ -1521,6 +1754,9 @@
   GrantColumns grants;
   TagColumns tags;
   ExchangeColumns exchange;
+  TargetUseColumns targets;
+  AccountUseColumns accounts;
+  PartReadColumns reads;
 
   _RowColumns__isset __isset;
 
@@ -1534,6 +1770,12 @@
 
   void __set_exchange(const ExchangeColumns& val);
 
+  void __set_targets(const TargetUseColumns& val);
+
+  void __set_accounts(const AccountUseColumns& val);
+
+  void __set_reads(const PartReadColumns& val);
+
   bool operator == (const RowColumns & rhs) const
   {
     if (__isset.demand != rhs.__isset.demand)
@@ -1556,6 +1798,18 @@
       return false;
     else if (__isset.exchange && !(exchange == rhs.exchange))
       return false;
+    if (__isset.targets != rhs.__isset.targets)
+      return false;
+    else if (__isset.targets && !(targets == rhs.targets))
+      return false;
+    if (__isset.accounts != rhs.__isset.accounts)
+      return false;
+    else if (__isset.accounts && !(accounts == rhs.accounts))
+      return false;
+    if (__isset.reads != rhs.__isset.reads)
+      return false;
+    else if (__isset.reads && !(reads == rhs.reads))
+      return false;
     return true;
   }
   bool operator != (const RowColumns &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -115,6 +115,12 @@
   3: i64 givenTokens
 }
 
+// A target has read a part of a prompt, and keeps it.
+struct PartRead {
+  1: i32 target
+  2: i64 part
+}
+
 struct LoadReport {
   1: list<TargetUse> targets
   2: list<AccountUse> accounts
@@ -123,6 +129,7 @@
   5: i64 stampMicros
   6: i64 echoMicros
   7: bool pressed
+  8: list<PartRead> reads
 }
 
 // What a read of a shared list at its source gave: the records from one offset
@@ -167,6 +174,25 @@
   3: list<i64> tags
 }
 
+struct TargetUseColumns {
+  1: binary targets
+  2: list<i32> prefillTokens
+  3: list<i32> running
+  4: list<i32> memoryTokens
+}
+
+struct AccountUseColumns {
+  1: binary accounts
+  2: list<i64> askedTokens
+  3: list<i64> givenTokens
+}
+
+// Parts stand in eight bytes each, the lowest first.
+struct PartReadColumns {
+  1: binary targets
+  2: binary parts
+}
+
 // Stands for the lists of the same names, which are empty where it is set.
 struct RowColumns {
   1: optional DemandColumns demand
@@ -174,6 +200,9 @@
   3: optional GrantColumns grants
   4: optional TagColumns tags
   5: optional ExchangeColumns exchange
+  6: optional TargetUseColumns targets
+  7: optional AccountUseColumns accounts
+  8: optional PartReadColumns reads
 }
 
 struct Envelope {
--- a/src/wire/row_columns.cpp
+++ b/src/wire/row_columns.cpp
@@ -10,25 +10,39 @@
 namespace {
 
 constexpr std::size_t kIdBytes = 4;
+constexpr std::size_t kPartBytes = 8;
 constexpr unsigned kByteBits = 8;
-constexpr std::uint32_t kByteMask = 0xFF;
+constexpr std::uint64_t kByteMask = 0xFF;
 
-auto AddId(std::string* aColumn, std::int32_t aId) -> void
+/// Adds the lowest bytes of a number, the lowest first.
+auto AddBytes(std::string* aColumn, std::int64_t aNumber, std::size_t aBytes)
+  -> void
 {
-  const auto bits = static_cast<std::uint32_t>(aId);
-  for (unsigned i = 0; i < kIdBytes; ++i) {
+  const auto bits = static_cast<std::uint64_t>(aNumber);
+  for (unsigned i = 0; i < aBytes; ++i) {
     *aColumn += static_cast<char>((bits >> (i * kByteBits)) & kByteMask);
   }
 }
 
-auto IdAt(std::string_view aColumn, std::size_t aRow) -> std::int32_t
+auto AddId(std::string* aColumn, std::int32_t aId) -> void
 {
-  std::uint32_t bits = 0;
-  for (unsigned i = 0; i < kIdBytes; ++i) {
-    const auto byte = static_cast<unsigned char>(aColumn[aRow * kIdBytes + i]);
-    bits |= static_cast<std::uint32_t>(byte) << (i * kByteBits);
+  AddBytes(aColumn, aId, kIdBytes);
+}
+
+auto BytesAt(std::string_view aColumn, std::size_t aRow, std::size_t aBytes)
+  -> std::uint64_t
+{
+  std::uint64_t bits = 0;
+  for (unsigned i = 0; i < aBytes; ++i) {
+    const auto byte = static_cast<unsigned char>(aColumn[aRow * aBytes + i]);
+    bits |= static_cast<std::uint64_t>(byte) << (i * kByteBits);
   }
-  return static_cast<std::int32_t>(bits);
+  return bits;
+}
+
+auto IdAt(std::string_view aColumn, std::size_t aRow) -> std::int32_t
+{
+  return static_cast<std::int32_t>(BytesAt(aColumn, aRow, kIdBytes));
 }
 
 auto HoldsIds(const std::string& aColumn, std::size_t aRows) -> bool
@@ -108,6 +122,93 @@
   }
 }
 
+auto PackLoad(LoadReport* aReport, RowColumns* aColumns) -> void
+{
+  TargetUseColumns targets;
+  for (const auto& row : std::exchange(aReport->targets, {})) {
+    AddId(&targets.targets, row.target);
+    targets.prefillTokens.push_back(row.prefillTokens);
+    targets.running.push_back(row.running);
+    targets.memoryTokens.push_back(row.memoryTokens);
+  }
+  if (!targets.running.empty()) {
+    aColumns->__set_targets(targets);
+  }
+  AccountUseColumns accounts;
+  for (const auto& row : std::exchange(aReport->accounts, {})) {
+    AddId(&accounts.accounts, row.account);
+    accounts.askedTokens.push_back(row.askedTokens);
+    accounts.givenTokens.push_back(row.givenTokens);
+  }
+  if (!accounts.askedTokens.empty()) {
+    aColumns->__set_accounts(accounts);
+  }
+  PartReadColumns reads;
+  for (const auto& row : std::exchange(aReport->reads, {})) {
+    AddId(&reads.targets, row.target);
+    AddBytes(&reads.parts, row.part, kPartBytes);
+  }
+  if (!reads.targets.empty()) {
+    aColumns->__set_reads(reads);
+  }
+}
+
+auto UnpackTargets(const TargetUseColumns& aColumns,
+                   std::vector<TargetUse>* aRows) -> bool
+{
+  const auto count = aColumns.running.size();
+  if (!HoldsIds(aColumns.targets, count) ||
+      aColumns.prefillTokens.size() != count ||
+      aColumns.memoryTokens.size() != count) {
+    return false;
+  }
+  for (std::size_t i = 0; i < count; ++i) {
+    TargetUse row;
+    row.target = IdAt(aColumns.targets, i);
+    row.prefillTokens = aColumns.prefillTokens[i];
+    row.running = aColumns.running[i];
+    row.memoryTokens = aColumns.memoryTokens[i];
+    aRows->push_back(row);
+  }
+  return true;
+}
+
+auto UnpackAccounts(const AccountUseColumns& aColumns,
+                    std::vector<AccountUse>* aRows) -> bool
+{
+  const auto count = aColumns.askedTokens.size();
+  if (!HoldsIds(aColumns.accounts, count) ||
+      aColumns.givenTokens.size() != count) {
+    return false;
+  }
+  for (std::size_t i = 0; i < count; ++i) {
+    AccountUse row;
+    row.account = IdAt(aColumns.accounts, i);
+    row.askedTokens = aColumns.askedTokens[i];
+    row.givenTokens = aColumns.givenTokens[i];
+    aRows->push_back(row);
+  }
+  return true;
+}
+
+auto UnpackReads(const PartReadColumns& aColumns, std::vector<PartRead>* aRows)
+  -> bool
+{
+  const auto count = aColumns.parts.size() / kPartBytes;
+  if (!HoldsIds(aColumns.targets, count) ||
+      aColumns.parts.size() != count * kPartBytes) {
+    return false;
+  }
+  for (std::size_t i = 0; i < count; ++i) {
+    PartRead row;
+    row.target = IdAt(aColumns.targets, i);
+    row.part =
+      static_cast<std::int64_t>(BytesAt(aColumns.parts, i, kPartBytes));
+    aRows->push_back(row);
+  }
+  return true;
+}
+
 auto UnpackDemand(const DemandColumns& aColumns, std::vector<DemandRow>* aRows)
   -> bool
 {
@@ -217,8 +318,10 @@
   if (aEnvelope->__isset.exchange) {
     PackExchange(&aEnvelope->exchange, &columns);
   }
-  const auto& set = columns.__isset;
-  if (set.demand || set.held || set.grants || set.tags || set.exchange) {
+  if (aEnvelope->__isset.load) {
+    PackLoad(&aEnvelope->load, &columns);
+  }
+  if (!(columns == RowColumns())) {
     aEnvelope->__set_columns(columns);
   }
 }
@@ -234,7 +337,12 @@
     (!set.grants || UnpackGrants(columns.grants, &aEnvelope->grants.grants)) &&
     (!set.tags || UnpackTags(columns.tags, aEnvelope->grants.floor,
                              &aEnvelope->grants.tags)) &&
-    (!set.exchange || UnpackExchange(columns.exchange, &aEnvelope->exchange));
+    (!set.exchange || UnpackExchange(columns.exchange, &aEnvelope->exchange)) &&
+    (!set.targets ||
+     UnpackTargets(columns.targets, &aEnvelope->load.targets)) &&
+    (!set.accounts ||
+     UnpackAccounts(columns.accounts, &aEnvelope->load.accounts)) &&
+    (!set.reads || UnpackReads(columns.reads, &aEnvelope->load.reads));
   return whole ? absl::OkStatus()
                : absl::InvalidArgumentError("columns of unequal lengths");
 }
--- a/tests/wire/envelope_codec_test.cpp
+++ b/tests/wire/envelope_codec_test.cpp
@@ -30,6 +30,7 @@
     envelope.__isset.demand = true;
     envelope.__isset.grants = true;
     envelope.__isset.exchange = true;
+    envelope.__isset.load = true;
     envelope.grants.floor = numbers[0];
     envelope.exchange.virtualTime = numbers[1];
     for (const auto number : numbers) {
@@ -55,6 +56,18 @@
       exchange.account = number;
       exchange.tag = number * 5LL;
       envelope.exchange.rows.push_back(exchange);
+      wire::TargetUse use;
+      use.target = number;
+      use.running = numbers[0];
+      envelope.load.targets.push_back(use);
+      wire::AccountUse asked;
+      asked.account = number;
+      asked.givenTokens = number * 11LL;
+      envelope.load.accounts.push_back(asked);
+      wire::PartRead read;
+      read.target = number;
+      read.part = number * 0x1'0000'0001LL;
+      envelope.load.reads.push_back(read);
     }
     const auto decoded = wire::DecodeEnvelope(wire::EncodeEnvelope(envelope));
     RC_ASSERT(decoded.ok());
