--- a/tests/platform/header_adapter_test.cpp
+++ b/tests/platform/header_adapter_test.cpp
@@ -80,6 +80,14 @@
   }
 }
 
+TEST(HeaderAdapter, NamesTheEngineToCopyFrom)
+{
+  SendAttempt attempt;
+  attempt.copyFrom_ = "10.0.0.2:81";
+  const auto fields = HeaderAdapter().TargetFields({}, attempt);
+  EXPECT_EQ(*FindField(fields, "Kv-Fetch"), "10.0.0.2:81");
+}
+
 TEST(HeaderAdapter, ReadsWhatAnEngineSays)
 {
   const HeaderAdapter adapter;
--- a/tests/platform/record_codec_test.cpp
+++ b/tests/platform/record_codec_test.cpp
@@ -13,7 +13,7 @@
   "trafficSplit":[{"service":"s","weight":90},{"service":"t","weight":10}]},
   {"name":"q","host":"h","pathPrefix":"/a/b/","kind":"safe","service":"t",
    "public":true}],
- "services":[{"name":"s","maxConns":370,"engine":{"slots":64,
+ "services":[{"name":"s","maxConns":370,"engine":{"slots":64,"kvBytes":163840,"linkMbps":180000,
   "kvTokens":629678,"stride":5}},{"name":"t","maxConns":110}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100,"headerTimeoutMs":3000,
   "idleTimeoutMs":15000,"tokensPerS":340000},
@@ -35,6 +35,9 @@
   EXPECT_EQ((*table)->FindAccount("k3"), nullptr);
   EXPECT_DOUBLE_EQ((*table)->TokensPerSecond(), 340'000);
   EXPECT_TRUE((*table)->FindService(MakeId<ServiceId>("s"))->isEngine_);
+  // 163,840 bytes over 180,000 Mbit/s.
+  EXPECT_NEAR((*table)->FindService(MakeId<ServiceId>("s"))->copyMsPerToken_,
+              0.00728, 0.00001);
 }
 
 TEST(RecordCodec, ConfigurationThatCannotBeReadIsRefused)
--- a/tests/process/forwarding/dispatcher_test.cpp
+++ b/tests/process/forwarding/dispatcher_test.cpp
@@ -53,6 +53,26 @@
     return item;
   }
 
+  /// Starts requests that share one beginning until one goes elsewhere than
+  /// the first; gives the first and that one.
+  auto StartUntilSpread(Instant aNow) -> std::pair<StartWork, StartWork>
+  {
+    std::vector<StartWork> starts;
+    for (int i = 0; i < 40; ++i) {
+      dispatcher_->Submit(MakeItem("a", 5000, 1000, 7, aNow), aNow);
+      for (const auto& verdict : dispatcher_->TakeVerdicts()) {
+        if (const auto* start = std::get_if<StartWork>(&verdict)) {
+          starts.push_back(*start);
+        }
+      }
+      if (starts.back().target_ != starts.front().target_) {
+        return { starts.front(), starts.back() };
+      }
+    }
+    ADD_FAILURE() << "no request went elsewhere";
+    return {};
+  }
+
   /// Starts of the verdicts so far, by request.
   auto TakeStarts(std::vector<RejectWork>* aRejects = nullptr)
     -> std::map<RequestId, TargetId>
@@ -242,6 +262,93 @@
   EXPECT_FALSE(used.contains(starts.begin()->second));
 }
 
+// Load pattern: a beginning's first choice has no more room, and the next one
+// has not read it.
+TEST_F(DispatcherTest, NextChoiceCopiesWhatTheFirstHasRead)
+{
+  SetUpPool(8, 64, true);
+  dispatcher_->Submit(MakeItem("a", 5000, 1000, 7, 1s), 1s);
+  const auto first = TakeStarts();
+  ASSERT_EQ(first.size(), 1U);
+  dispatcher_->OnFirstEvent(1, 1200ms);
+  const auto [here, elsewhere] = StartUntilSpread(1300ms);
+  EXPECT_EQ(here.target_, first.at(1));
+  EXPECT_FALSE(here.copyFrom_.has_value());
+  ASSERT_TRUE(elsewhere.copyFrom_.has_value());
+  EXPECT_EQ(*elsewhere.copyFrom_, first.at(1));
+  // What is copied is not read.
+  const auto* load = dispatcher_->Loads().Find(elsewhere.target_);
+  EXPECT_EQ(load->Own().prefillTokens_, 1000);
+}
+
+TEST_F(DispatcherTest, NothingIsCopiedBeforeItIsRead)
+{
+  SetUpPool(8, 64, true);
+  const auto [here, elsewhere] = StartUntilSpread(1s);
+  EXPECT_FALSE(elsewhere.copyFrom_.has_value());
+}
+
+TEST_F(DispatcherTest, EnginesThatCannotCopyReadThemselves)
+{
+  SetUpPool(8, 64, true);
+  dispatcher_->SetTable(MakeTable(2, true, 0, 0));
+  dispatcher_->Submit(MakeItem("a", 5000, 1000, 7, 1s), 1s);
+  TakeStarts();
+  dispatcher_->OnFirstEvent(1, 1200ms);
+  const auto [here, elsewhere] = StartUntilSpread(1300ms);
+  EXPECT_FALSE(elsewhere.copyFrom_.has_value());
+}
+
+TEST_F(DispatcherTest, EngineThatFailedIsNotCopiedFrom)
+{
+  SetUpPool(8, 64, true);
+  dispatcher_->Submit(MakeItem("a", 5000, 1000, 7, 1s), 1s);
+  TakeStarts();
+  dispatcher_->OnFirstEvent(1, 1200ms);
+  dispatcher_->OnRunEnd(1, RunEnd::kFailed, 1200ms);
+  dispatcher_->Submit(MakeItem("a", 5000, 1000, 7, 1210ms), 1210ms);
+  for (const auto& verdict : dispatcher_->TakeVerdicts()) {
+    EXPECT_FALSE(std::get<StartWork>(verdict).copyFrom_.has_value());
+  }
+}
+
+TEST_F(DispatcherTest, WhatPeersSawReadIsCopied)
+{
+  SetUpPool(8, 64, true);
+  wire::LoadReport report;
+  wire::PartRead read;
+  read.part = 7;
+  // Whichever is the first choice, one of these is another engine.
+  for (const auto* name : { "t0", "t1" }) {
+    read.target = MakeId<TargetId>(name).value_;
+    report.reads.push_back(read);
+  }
+  dispatcher_->OnPeerReport(MakeId<RouterId>("peer"), report, 1s);
+  dispatcher_->Submit(MakeItem("a", 5000, 1000, 7, 1s), 1s);
+  const auto verdicts = dispatcher_->TakeVerdicts();
+  ASSERT_EQ(verdicts.size(), 1U);
+  const auto& start = std::get<StartWork>(verdicts.front());
+  const bool keeps = start.target_ == MakeId<TargetId>("t0") ||
+                     start.target_ == MakeId<TargetId>("t1");
+  EXPECT_EQ(start.copyFrom_.has_value(), !keeps);
+}
+
+TEST_F(DispatcherTest, ReadsAreToldOnceAndAgainAfterAWhile)
+{
+  SetUpPool(1, 64, true);
+  const auto play = [&](Instant aNow) {
+    dispatcher_->Submit(MakeItem("a", 5000, 100, 7, aNow), aNow);
+    const auto starts = TakeStarts();
+    dispatcher_->OnFirstEvent(starts.begin()->first, aNow + 100ms);
+    dispatcher_->OnRunEnd(starts.begin()->first, RunEnd::kWhole, aNow + 200ms);
+    return dispatcher_->MakeReport(aNow + 200ms).reads.size();
+  };
+  // The request's own part is of no use to others.
+  EXPECT_EQ(play(1s), 1U);
+  EXPECT_EQ(play(2s), 0U);
+  EXPECT_EQ(play(10s), 1U);
+}
+
 TEST_F(DispatcherTest, TriedTargetIsNotUsedAgain)
 {
   SetUpPool(1, 4, false);
--- a/tests/support/forwarding_fixture.h
+++ b/tests/support/forwarding_fixture.h
@@ -54,10 +54,12 @@
 
 /// A table with routes "read" (safe), "write" (unsafe) and "talk" (a stream
 /// that may be resumed), accounts "a" with key "key-a" and "b" with "key-b",
-/// and one service "pool".
+/// and one service "pool", whose engines copy a token's memory in 7 us unless
+/// told otherwise.
 inline auto MakeTable(std::int64_t aVersion,
                       bool aEngines = true,
-                      double aTokensPerSecond = 0) -> RouteTablePointer
+                      double aTokensPerSecond = 0,
+                      double aCopyMsPerToken = 0.007) -> RouteTablePointer
 {
   RoutedService service;
   service.name_ = "pool";
@@ -65,6 +67,7 @@
   service.maxConnections_ = 100;
   service.isEngine_ = aEngines;
   service.memoryTokens_ = aEngines ? 600'000 : 0;
+  service.copyMsPerToken_ = aEngines ? aCopyMsPerToken : 0;
   auto talk = MakeRoute("talk", RouteKind::kStream);
   talk.resumable_ = true;
   auto write = MakeRoute("write", RouteKind::kUnsafe);
