--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -349,6 +349,7 @@
   add("requests_cancelled_total", counters.cancelled_);
   add("retries_total", counters.retries_);
   add("resumes_total", counters.resumes_);
+  add("copies_total", counters.copies_);
   add("stale_keys_total", counters.staleKeys_);
   add("overload_refusals_total", counters.overloads_);
   add("requests_open", static_cast<std::int64_t>(node_.RequestCount()));
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -280,6 +280,7 @@
   const auto* source =
     aVerdict.copyFrom_ ? directory_.Find(*aVerdict.copyFrom_) : nullptr;
   if (source != nullptr) {
+    ++counters_.copies_;
     send.copyFrom_ = source->host_ + ':' + std::to_string(source->port_);
   }
   send.runsOnce_ = !request->route_->MayRepeat();
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -85,6 +85,8 @@
   std::int64_t cancelled_ = 0;
   std::int64_t retries_ = 0;
   std::int64_t resumes_ = 0;
+  /// Requests whose target copies their beginning from another.
+  std::int64_t copies_ = 0;
   std::int64_t staleKeys_ = 0;
   /// Turned away as this router's own processor does not keep up.
   std::int64_t overloads_ = 0;
--- /dev/null
+++ b/src/process/node/leaving_list.cpp
@@ -0,0 +1,55 @@
+#include "process/node/leaving_list.h"
+
+#include <utility>
+
+namespace burdockring {
+namespace {
+
+/// A target that said that it leaves is gone within this time, or lists itself
+/// anew.
+constexpr Duration kHeardLife = 60s;
+
+} // namespace
+
+auto LeavingList::SetListed(const std::vector<TargetId>& aTargets) -> void
+{
+  listed_ = { aTargets.begin(), aTargets.end() };
+}
+
+auto LeavingList::Hear(TargetId aTarget, Instant aNow) -> bool
+{
+  return heard_.try_emplace(aTarget, aNow).second;
+}
+
+auto LeavingList::Refresh(const ConfigSet& aSet, Instant aNow) -> bool
+{
+  std::erase_if(heard_, [&](const auto& aEntry) {
+    return aNow - aEntry.second > kHeardLife;
+  });
+  auto all = listed_;
+  for (const auto& entry : heard_) {
+    all.insert(entry.first);
+  }
+  for (const auto& entry : aSet.targets_) {
+    if (entry.second.leaving_) {
+      all.insert(entry.first);
+    }
+  }
+  if (all == all_) {
+    return false;
+  }
+  all_ = std::move(all);
+  return true;
+}
+
+auto LeavingList::All() const -> const std::set<TargetId>&
+{
+  return all_;
+}
+
+auto LeavingList::Heard() const -> const std::map<TargetId, Instant>&
+{
+  return heard_;
+}
+
+} // namespace burdockring
--- a/src/process/node/router_node.cpp
+++ b/src/process/node/router_node.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr Duration kConfigRequestInterval = 500ms;
-constexpr Duration kHeardLeavingLife = 60s;
 /// A tick that comes later than this found the process paused.
 constexpr Duration kPauseLimit = 500ms;
 constexpr Duration kMinRetryAfter = 1s;
@@ -22,8 +21,7 @@
 {
   if (time_.now_ - lastTick_ > kPauseLimit && lastTick_ > 0us) {
     // What was granted before the pause is no longer known to hold.
-    schedulers_.clear();
-    schedulersAsOf_ = 0;
+    schedulers_.Clear();
   }
   lastTick_ = time_.now_;
   SendHeartbeats();
@@ -218,8 +216,7 @@
 auto RouterNode::On(const VmListRead& aEvent) -> void
 {
   peers_.SetListed(aEvent.routers_, time_.now_);
-  listedLeaving_ = { aEvent.leavingTargets_.begin(),
-                     aEvent.leavingTargets_.end() };
+  leaving_.SetListed(aEvent.leavingTargets_);
   RefreshLeaving();
 }
 
@@ -246,12 +243,8 @@
     }
   }
   if (aEnvelope.__isset.demand) {
-    const auto& report = aEnvelope.demand;
-    const auto found = schedulers_.find(
-      { ZoneId{ report.zone }, ServiceId{ report.serviceId } });
-    if (found != schedulers_.end()) {
-      found->second.OnReport(from, aEnvelope.incarnation, report, time_.now_);
-    }
+    schedulers_.OnReport(from, aEnvelope.incarnation, aEnvelope.demand,
+                         time_.now_);
   }
   if (aEnvelope.__isset.grants) {
     const auto found = pools_.find(ServiceId{ aEnvelope.grants.serviceId });
@@ -260,14 +253,8 @@
     }
   }
   if (aEnvelope.__isset.exchange) {
-    const ServiceId service{ aEnvelope.exchange.serviceId };
-    for (auto& entry : schedulers_) {
-      if (entry.first.service_ == service &&
-          entry.first.zone_.value_ != aEnvelope.exchange.zone) {
-        entry.second.OnExchange(aEnvelope.incarnation, aEnvelope.exchange,
-                                time_.now_);
-      }
-    }
+    schedulers_.OnExchange(aEnvelope.incarnation, aEnvelope.exchange,
+                           time_.now_);
   }
   if (aEnvelope.__isset.configOffer) {
     OnConfigOffer(aEnvelope.configOffer);
@@ -320,90 +307,42 @@
   for (auto& entry : pools_) {
     entry.second.Configure(current.set_);
   }
-  for (auto& entry : schedulers_) {
-    entry.second.Configure(*current.set_);
-  }
+  schedulers_.Configure(*current.set_);
   RefreshLeaving();
-  schedulersAsOf_ = 0;
+  schedulers_.Expire();
   RefreshSchedulers();
   effects_.emplace_back(ConfigInForce{ current });
 }
 
 auto RouterNode::NoteLeaving(TargetId aTarget) -> void
 {
-  const bool known = heardLeaving_.contains(aTarget);
-  if (!known) {
-    heardLeaving_[aTarget] = time_.now_;
+  if (leaving_.Hear(aTarget, time_.now_)) {
     RefreshLeaving();
   }
 }
 
 auto RouterNode::RefreshLeaving() -> void
 {
-  std::erase_if(heardLeaving_, [&](const auto& aEntry) {
-    return time_.now_ - aEntry.second > kHeardLeavingLife;
-  });
-  auto leaving = listedLeaving_;
-  for (const auto& entry : heardLeaving_) {
-    leaving.insert(entry.first);
-  }
-  for (const auto& entry : config_.Current().set_->targets_) {
-    if (entry.second.leaving_) {
-      leaving.insert(entry.first);
-    }
-  }
-  if (leaving == leaving_) {
+  if (!leaving_.Refresh(*config_.Current().set_, time_.now_)) {
     return;
   }
-  leaving_ = std::move(leaving);
-  effects_.emplace_back(
-    StateChanged{ "targets", "leaving", std::to_string(leaving_.size()) });
+  effects_.emplace_back(StateChanged{ "targets", "leaving",
+                                      std::to_string(leaving_.All().size()) });
   for (auto& entry : pools_) {
-    entry.second.SetLeaving(leaving_);
-  }
-  for (auto& entry : schedulers_) {
-    entry.second.SetLeaving(leaving_);
+    entry.second.SetLeaving(leaving_.All());
   }
+  schedulers_.SetLeaving(leaving_.All());
 }
 
 auto RouterNode::RefreshSchedulers() -> void
 {
-  if (peers_.Version() == schedulersAsOf_) {
-    return;
-  }
-  schedulersAsOf_ = peers_.Version();
-  const auto& self = peers_.Self();
-  for (auto& entry : pools_) {
-    for (const auto zone : entry.second.Zones()) {
-      const auto scheduler = peers_.SchedulerOf(zone, entry.first);
-      entry.second.SetScheduler(
-        zone, scheduler, scheduler ? peers_.IncarnationOf(*scheduler) : 0);
-      const SchedulerKey key{ zone, entry.first };
-      if (scheduler != self.id_) {
-        schedulers_.erase(key);
-        continue;
-      }
-      const auto inserted = schedulers_.try_emplace(
-        key, &options_.sharing_, entry.first, zone, time_.now_);
-      if (inserted.second) {
-        inserted.first->second.Configure(*config_.Current().set_);
-        inserted.first->second.SetLeaving(leaving_);
-        effects_.emplace_back(
-          StateChanged{ "scheduler", NameScheduler(key), "started" });
-      }
-    }
+  for (auto& name : schedulers_.Refresh(&pools_, *config_.Current().set_,
+                                        leaving_.All(), time_.now_)) {
+    effects_.emplace_back(
+      StateChanged{ "scheduler", std::move(name), "started" });
   }
 }
 
-auto RouterNode::NameScheduler(const SchedulerKey& aKey) const -> std::string
-{
-  const auto& set = *config_.Current().set_;
-  const auto zone = set.zones_.find(aKey.zone_);
-  const auto service = set.services_.find(aKey.service_);
-  return (service == set.services_.end() ? "" : service->second.name_) + '@' +
-         (zone == set.zones_.end() ? "" : zone->second.name_);
-}
-
 auto RouterNode::ReportPeerChanges() -> void
 {
   for (const auto& change : peers_.TakeChanges()) {
@@ -414,9 +353,7 @@
     effects_.emplace_back(
       StateChanged{ "peer", name, std::string(PeerStateName(change.to_)) });
     if (change.to_ == PeerState::kDead) {
-      for (auto& entry : schedulers_) {
-        entry.second.Forget(change.router_, time_.now_);
-      }
+      schedulers_.ForgetRouter(change.router_, time_.now_);
     }
   }
   for (const auto router : peers_.TakeProbes()) {
@@ -429,7 +366,7 @@
   for (auto& addressed : peers_.Tick(time_.now_, config_.Current().version_)) {
     wire::Envelope envelope;
     envelope.heartbeat = std::move(addressed.heartbeat_);
-    for (const auto& entry : heardLeaving_) {
+    for (const auto& entry : leaving_.Heard()) {
       envelope.heartbeat.leavingTargets.push_back(entry.first.value_);
     }
     envelope.__isset.heartbeat = true;
@@ -538,23 +475,8 @@
 
 auto RouterNode::RunSchedulers() -> void
 {
-  for (auto& entry : schedulers_) {
-    auto& scheduler = entry.second;
-    scheduler.Schedule(time_.now_);
-    for (auto& addressed : scheduler.TakeBatches(time_.now_)) {
-      wire::Envelope envelope;
-      envelope.__isset.grants = true;
-      envelope.grants = std::move(addressed.batch_);
-      Send(addressed.router_, std::move(envelope));
-    }
-    for (auto& addressed : scheduler.TakeExchanges(time_.now_)) {
-      const auto receiver =
-        peers_.SchedulerOf(addressed.zone_, entry.first.service_);
-      wire::Envelope envelope;
-      envelope.__isset.exchange = true;
-      envelope.exchange = std::move(addressed.exchange_);
-      Send(*receiver, std::move(envelope));
-    }
+  for (auto& message : schedulers_.Run(time_.now_)) {
+    Send(message.router_, std::move(message.envelope_));
   }
 }
 
@@ -755,6 +677,7 @@
   : options_(aOptions)
   , incarnation_(aIncarnation)
   , peers_(std::move(aSelf), aIncarnation)
+  , schedulers_(&options_.sharing_, &peers_)
   , claims_(aOptions.claims_,
             peers_.Self().id_,
             aIncarnation,
@@ -816,7 +739,7 @@
 
 auto RouterNode::LeavingTargets() const -> const std::set<TargetId>&
 {
-  return leaving_;
+  return leaving_.All();
 }
 
 auto RouterNode::Claims() const -> const ClaimCoordinator&
@@ -832,8 +755,7 @@
 auto RouterNode::Scheduler(ZoneId aZone, ServiceId aService) const
   -> const ZoneScheduler*
 {
-  const auto found = schedulers_.find({ aZone, aService });
-  return found == schedulers_.end() ? nullptr : &found->second;
+  return schedulers_.Find(aZone, aService);
 }
 
 } // namespace burdockring
--- a/src/process/node/router_node.h
+++ b/src/process/node/router_node.h
@@ -3,11 +3,12 @@
 
 #include "process/claims/claim_coordinator.h"
 #include "process/membership/peer_table.h"
+#include "process/node/leaving_list.h"
 #include "process/node/node_effects.h"
 #include "process/node/node_events.h"
 #include "process/node/request_table.h"
+#include "process/node/scheduler_set.h"
 #include "process/sharing/service_pool.h"
-#include "process/sharing/zone_scheduler.h"
 #include "request/retry_budget.h"
 #include "version/config_replica.h"
 
@@ -52,27 +53,16 @@
 /// clock, and equal events give equal effects.
 class RouterNode
 {
-  struct SchedulerKey
-  {
-    ZoneId zone_;
-    ServiceId service_;
-
-    auto operator<=>(const SchedulerKey&) const = default;
-  };
-
   NodeOptions options_;
   std::int64_t incarnation_;
   PeerTable peers_;
+  SchedulerSet schedulers_;
   ConfigReplica config_;
   ClaimCoordinator claims_;
   RequestTable requests_;
   std::map<ServiceId, ServicePool> pools_;
   std::map<ServiceId, RetryBudget> budgets_;
-  std::map<SchedulerKey, ZoneScheduler> schedulers_;
-  std::set<TargetId> listedLeaving_;
-  /// Targets that said themselves that they leave, or that peers named.
-  std::map<TargetId, Instant> heardLeaving_;
-  std::set<TargetId> leaving_;
+  LeavingList leaving_;
   std::deque<wire::Envelope> loopback_;
   NodeCounters counters_;
   NodeEffects effects_;
@@ -80,8 +70,6 @@
   Instant lastTick_{};
   Instant lastSnapshot_{};
   Instant lastConfigRequest_{};
-  /// The version of the peers that the schedulers were chosen by.
-  std::int64_t schedulersAsOf_ = 0;
   bool stopping_ = false;
 
   auto On(const TickEvent& aEvent) -> void;
@@ -105,8 +93,6 @@
   auto NoteLeaving(TargetId aTarget) -> void;
   auto RefreshLeaving() -> void;
   auto RefreshSchedulers() -> void;
-  [[nodiscard]] auto NameScheduler(const SchedulerKey& aKey) const
-    -> std::string;
   auto ReportPeerChanges() -> void;
   auto SendHeartbeats() -> void;
   auto SpreadConfig() -> void;
