--- a/src/process/forwarding/account_shares.cpp
+++ b/src/process/forwarding/account_shares.cpp
@@ -35,10 +35,10 @@
   });
   peerSums_.clear();
   for (const auto& peer : peers_) {
-    for (const auto& use : peer.second.accounts_) {
-      auto& sum = peerSums_[AccountId{ use.account }];
-      sum.asked_ += use.askedTokens;
-      sum.given_ += use.givenTokens;
+    for (const auto& entry : peer.second.accounts_) {
+      auto& sum = peerSums_[AccountId{ entry.first }];
+      sum.asked_ += entry.second.askedTokens;
+      sum.given_ += entry.second.givenTokens;
     }
   }
 }
@@ -128,9 +128,17 @@
 
 auto AccountShares::SetPeer(RouterId aPeer,
                             const std::vector<wire::AccountUse>& aAccounts,
+                            bool aPartial,
                             Instant aNow) -> void
 {
-  peers_[aPeer] = { aNow, aAccounts };
+  auto& peer = peers_[aPeer];
+  peer.at_ = aNow;
+  if (!aPartial) {
+    peer.accounts_.clear();
+  }
+  for (const auto& use : aAccounts) {
+    peer.accounts_[use.account] = use;
+  }
 }
 
 auto AccountShares::Standing(AccountId aAccount,
--- a/src/process/forwarding/account_shares.h
+++ b/src/process/forwarding/account_shares.h
@@ -61,7 +61,7 @@
   struct PeerUse
   {
     Instant at_{};
-    std::vector<wire::AccountUse> accounts_;
+    std::map<std::int32_t, wire::AccountUse> accounts_;
   };
 
   double tokensPerSecond_ = 0;
@@ -86,8 +86,10 @@
   auto SetTokensPerSecond(double aTokens) -> void;
   auto Ask(AccountId aAccount, std::int64_t aTokens, Instant aNow) -> void;
   auto Give(AccountId aAccount, std::int64_t aTokens, Instant aNow) -> void;
+  /// Partial: the rows change what the peer told before.
   auto SetPeer(RouterId aPeer,
                const std::vector<wire::AccountUse>& aAccounts,
+               bool aPartial,
                Instant aNow) -> void;
   /// How the account would stand with so much more.
   auto Standing(AccountId aAccount, std::int64_t aTokens, Instant aNow)
--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -338,8 +338,8 @@
                               Instant aNow) -> void
 {
   mayHaveRoom_ = true;
-  loads_.SetPeer(aPeer, aReport.targets, aNow);
-  shares_.SetPeer(aPeer, aReport.accounts, aNow);
+  loads_.SetPeer(aPeer, aReport.targets, aReport.partial, aNow);
+  shares_.SetPeer(aPeer, aReport.accounts, aReport.partial, aNow);
   for (const auto& read : aReport.reads) {
     const TargetId target{ read.target };
     if (directory_->Find(target) != nullptr) {
@@ -352,13 +352,17 @@
   }
 }
 
-auto Dispatcher::MakeReport(Instant aNow) -> wire::LoadReport
+auto Dispatcher::MakeReport(bool aWhole, Instant aNow) -> wire::LoadReport
 {
   wire::LoadReport report;
   report.targets = loads_.OwnUse();
   report.accounts = shares_.OwnUse(aNow);
   report.pressed = aNow < ownPressedUntil_;
   report.reads = std::exchange(reads_, {});
+  if (aWhole) {
+    delta_.ForceWhole();
+  }
+  delta_.Reduce(&report, aNow);
   return report;
 }
 
--- a/src/process/forwarding/dispatcher.h
+++ b/src/process/forwarding/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include "process/forwarding/account_shares.h"
 #include "process/forwarding/placement.h"
+#include "process/forwarding/report_delta.h"
 #include "process/forwarding/target_directory.h"
 #include "process/forwarding/target_load.h"
 
@@ -133,6 +134,7 @@
   std::vector<Waiting> waiting_;
   std::map<RequestId, Run> runs_;
   std::vector<DispatchVerdict> verdicts_;
+  ReportDelta delta_;
   /// What targets have read since the last report to the peers.
   std::vector<wire::PartRead> reads_;
   std::mt19937 random_;
@@ -189,7 +191,9 @@
   auto OnPeerReport(RouterId aPeer,
                     const wire::LoadReport& aReport,
                     Instant aNow) -> void;
-  auto MakeReport(Instant aNow) -> wire::LoadReport;
+  /// What has changed since the last report, or all of it where a peer knows
+  /// nothing yet.
+  auto MakeReport(bool aWhole, Instant aNow) -> wire::LoadReport;
   auto Tick(Instant aNow) -> void;
 
   [[nodiscard]] auto WaitingCount() const -> std::size_t;
--- a/src/process/forwarding/peer_exchange.cpp
+++ b/src/process/forwarding/peer_exchange.cpp
@@ -56,7 +56,7 @@
   loadChanged_ = false;
   wire::Envelope envelope;
   envelope.__isset.load = true;
-  envelope.load = dispatcher_->MakeReport(aNow);
+  envelope.load = dispatcher_->MakeReport(announces_, aNow);
   if (stamped) {
     SendStampedReports(std::move(envelope), aNow);
     return;
--- a/src/process/forwarding/target_load.cpp
+++ b/src/process/forwarding/target_load.cpp
@@ -170,8 +170,8 @@
 
 auto LoadBook::Drop(const PeerUse& aUse) -> void
 {
-  for (const auto& use : aUse.targets_) {
-    At(TargetId{ use.target }).ChangePeers(AmountsOf(use), {});
+  for (const auto& entry : aUse.targets_) {
+    At(TargetId{ entry.first }).ChangePeers(AmountsOf(entry.second), {});
   }
 }
 
@@ -195,13 +195,22 @@
 
 auto LoadBook::SetPeer(RouterId aPeer,
                        const std::vector<wire::TargetUse>& aTargets,
+                       bool aPartial,
                        Instant aNow) -> void
 {
   auto& peer = peers_[aPeer];
-  Drop(peer);
-  peer = { aNow, aTargets };
+  peer.at_ = aNow;
+  if (!aPartial) {
+    Drop(peer);
+    peer.targets_.clear();
+  }
   for (const auto& use : aTargets) {
-    At(TargetId{ use.target }).ChangePeers({}, AmountsOf(use));
+    auto& known = peer.targets_[use.target];
+    At(TargetId{ use.target }).ChangePeers(AmountsOf(known), AmountsOf(use));
+    known = use;
+    if (use.running == 0 && use.prefillTokens == 0 && use.memoryTokens == 0) {
+      peer.targets_.erase(use.target);
+    }
   }
 }
 
--- a/src/process/forwarding/target_load.h
+++ b/src/process/forwarding/target_load.h
@@ -116,7 +116,7 @@
   struct PeerUse
   {
     Instant at_{};
-    std::vector<wire::TargetUse> targets_;
+    std::map<std::int32_t, wire::TargetUse> targets_;
   };
 
   std::map<TargetId, TargetLoad> loads_;
@@ -130,8 +130,10 @@
   [[nodiscard]] auto Find(TargetId aTarget) const -> const TargetLoad*;
   /// Drops the loads that aKeeps denies and that nothing runs at.
   auto ForgetUnless(const std::function<bool(TargetId)>& aKeeps) -> void;
+  /// Partial: the rows change what the peer told before.
   auto SetPeer(RouterId aPeer,
                const std::vector<wire::TargetUse>& aTargets,
+               bool aPartial,
                Instant aNow) -> void;
   /// Leaves out peers that fell silent.
   auto Tick(Instant aNow) -> void;
--- a/src/wire/gen/peer_types.cpp
+++ b/src/wire/gen/peer_types.cpp
@@ -2745,6 +2745,10 @@
 void LoadReport::__set_reads(const std::vector<PartRead> & val) {
   this->reads = val;
 }
+
+void LoadReport::__set_partial(const bool val) {
+  this->partial = val;
+}
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
 {
   obj.printTo(out);
@@ -2873,6 +2877,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->partial);
+          this->__isset.partial = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2946,6 +2958,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("partial", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->partial);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2961,6 +2977,7 @@
   swap(a.echoMicros, b.echoMicros);
   swap(a.pressed, b.pressed);
   swap(a.reads, b.reads);
+  swap(a.partial, b.partial);
   swap(a.__isset, b.__isset);
 }
 
@@ -2973,6 +2990,7 @@
   echoMicros = other98.echoMicros;
   pressed = other98.pressed;
   reads = other98.reads;
+  partial = other98.partial;
   __isset = other98.__isset;
 }
 LoadReport& LoadReport::operator=(const LoadReport& other99) {
@@ -2984,6 +3002,7 @@
   echoMicros = other99.echoMicros;
   pressed = other99.pressed;
   reads = other99.reads;
+  partial = other99.partial;
   __isset = other99.__isset;
   return *this;
 }
@@ -2998,6 +3017,7 @@
   out << ", " << "echoMicros=" << to_string(echoMicros);
   out << ", " << "pressed=" << to_string(pressed);
   out << ", " << "reads=" << to_string(reads);
+  out << ", " << "partial=" << to_string(partial);
   out << ")";
 }
 
--- a/src/wire/gen/peer_types.h
+++ b/src/wire/gen/peer_types.h
@@ -1133,7 +1133,7 @@
 std::ostream& operator<<(std::ostream& out, const PartRead& obj);
 
 typedef struct _LoadReport__isset {
-  _LoadReport__isset() : targets(false), accounts(false), configVersion(false), configAgeMicros(false), stampMicros(false), echoMicros(false), pressed(false), reads(false) {}
+  _LoadReport__isset() : targets(false), accounts(false), configVersion(false), configAgeMicros(false), stampMicros(false), echoMicros(false), pressed(false), reads(false), partial(false) {}
   bool targets :1;
   bool accounts :1;
   bool configVersion :1;
@@ -1142,6 +1142,7 @@
   bool echoMicros :1;
   bool pressed :1;
   bool reads :1;
+  bool partial :1;
 } _LoadReport__isset;
 
 class LoadReport : public virtual ::apache::thrift::TBase {
@@ -1154,7 +1155,8 @@
                configAgeMicros(0),
                stampMicros(0),
                echoMicros(0),
-               pressed(0) {
+               pressed(0),
+               partial(0) {
   }
 
   virtual ~LoadReport() noexcept;
@@ -1166,6 +1168,7 @@
   int64_t echoMicros;
   bool pressed;
   std::vector<PartRead>  reads;
+  bool partial;
 
   _LoadReport__isset __isset;
 
@@ -1185,6 +1188,8 @@
 
   void __set_reads(const std::vector<PartRead> & val);
 
+  void __set_partial(const bool val);
+
   bool operator == (const LoadReport & rhs) const
   {
     if (!(targets == rhs.targets))
@@ -1203,6 +1208,8 @@
       return false;
     if (!(reads == rhs.reads))
       return false;
+    if (!(partial == rhs.partial))
+      return false;
     return true;
   }
   bool operator != (const LoadReport &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -130,6 +130,8 @@
   6: i64 echoMicros
   7: bool pressed
   8: list<PartRead> reads
+  // Rows change those of earlier reports; otherwise they replace them all.
+  9: bool partial
 }
 
 // What a read of a shared list at its source gave: the records from one offset
