--- a/tests/process/forwarding/account_shares_test.cpp
+++ b/tests/process/forwarding/account_shares_test.cpp
@@ -55,7 +55,7 @@
   shares.SetTokensPerSecond(1000);
   shares.Ask(kSmall, 100'000, 10s);
   shares.SetPeer(MakeId<RouterId>("peer"),
-                 { Use(kLarge, 100'000, 0), Use(kSmall, 0, 3900) }, 10s);
+                 { Use(kLarge, 100'000, 0), Use(kSmall, 0, 3900) }, false, 10s);
   EXPECT_EQ(shares.Standing(kSmall, 10, 10s), ShareStanding::kBeyond);
   EXPECT_EQ(shares.Standing(kSmall, 10, 12s), ShareStanding::kOwed);
 }
--- a/tests/process/forwarding/dispatcher_test.cpp
+++ b/tests/process/forwarding/dispatcher_test.cpp
@@ -341,7 +341,7 @@
     const auto starts = TakeStarts();
     dispatcher_->OnFirstEvent(starts.begin()->first, aNow + 100ms);
     dispatcher_->OnRunEnd(starts.begin()->first, RunEnd::kWhole, aNow + 200ms);
-    return dispatcher_->MakeReport(aNow + 200ms).reads.size();
+    return dispatcher_->MakeReport(false, aNow + 200ms).reads.size();
   };
   // The request's own part is of no use to others.
   EXPECT_EQ(play(1s), 1U);
--- a/tests/process/forwarding/target_load_test.cpp
+++ b/tests/process/forwarding/target_load_test.cpp
@@ -20,21 +20,35 @@
 TEST(LoadBookTest, ReportReplacesThePeersLastOne)
 {
   LoadBook book;
-  book.SetPeer(RouterId{ 1 }, { MakeUse(1, 3), MakeUse(2, 1) }, 1s);
-  book.SetPeer(RouterId{ 1 }, { MakeUse(1, 2) }, 1100ms);
+  book.SetPeer(RouterId{ 1 }, { MakeUse(1, 3), MakeUse(2, 1) }, false, 1s);
+  book.SetPeer(RouterId{ 1 }, { MakeUse(1, 2) }, false, 1100ms);
   EXPECT_EQ(book.At(TargetId{ 1 }).Total().running_, 2);
   EXPECT_EQ(book.At(TargetId{ 1 }).Total().prefillTokens_, 200);
   EXPECT_EQ(book.At(TargetId{ 2 }).Total().running_, 0);
 }
 
+TEST(LoadBookTest, PartialReportChangesTheRowsItHolds)
+{
+  LoadBook book;
+  book.SetPeer(RouterId{ 1 }, { MakeUse(1, 3), MakeUse(2, 1) }, false, 1s);
+  book.SetPeer(RouterId{ 1 }, { MakeUse(2, 5), MakeUse(3, 2) }, true, 1100ms);
+  EXPECT_EQ(book.At(TargetId{ 1 }).Total().running_, 3);
+  EXPECT_EQ(book.At(TargetId{ 2 }).Total().running_, 5);
+  EXPECT_EQ(book.At(TargetId{ 3 }).Total().running_, 2);
+  book.SetPeer(RouterId{ 1 }, { MakeUse(1, 0) }, true, 1200ms);
+  EXPECT_EQ(book.At(TargetId{ 1 }).Total().running_, 0);
+  book.Tick(5s);
+  EXPECT_EQ(book.At(TargetId{ 2 }).Total().running_, 0);
+}
+
 TEST(LoadBookTest, SilentPeerIsLeftOut)
 {
   LoadBook book;
-  book.SetPeer(RouterId{ 1 }, { MakeUse(1, 3) }, 1s);
-  book.SetPeer(RouterId{ 2 }, { MakeUse(1, 4) }, 2s);
+  book.SetPeer(RouterId{ 1 }, { MakeUse(1, 3) }, false, 1s);
+  book.SetPeer(RouterId{ 2 }, { MakeUse(1, 4) }, false, 2s);
   book.Tick(2600ms);
   EXPECT_EQ(book.At(TargetId{ 1 }).Total().running_, 4);
-  book.SetPeer(RouterId{ 1 }, { MakeUse(1, 5) }, 2700ms);
+  book.SetPeer(RouterId{ 1 }, { MakeUse(1, 5) }, false, 2700ms);
   EXPECT_EQ(book.At(TargetId{ 1 }).Total().running_, 9);
 }
 
@@ -63,7 +77,7 @@
         uses.push_back(MakeUse(target, running));
       }
     }
-    book.SetPeer(RouterId{ peer }, uses, 1s + step * 1ms);
+    book.SetPeer(RouterId{ peer }, uses, false, 1s + step * 1ms);
     last[peer] = uses;
   }
   std::map<int, int> sums;
