Count only what has begun as given to an account

An account that stands back finds room only where next to nothing waits, so mostly at engines that are lost; each such send counted as given, and pushed it further beyond. Ruled out: a router's own capacity (no overload line of a router in that time), the age of peers' reports. Change: a run that fails or is refused before its first event is taken back. The test failed first (3,200 given, 0 expected).

--- a/src/process/forwarding/account_shares.h
+++ b/src/process/forwarding/account_shares.h
@@ -85,6 +85,7 @@
   /// Zero: the pool's rate isn't known, and every account is within its share.
   auto SetTokensPerSecond(double aTokens) -> void;
   auto Ask(AccountId aAccount, std::int64_t aTokens, Instant aNow) -> void;
+  /// Less than none takes back what did not run after all.
   auto Give(AccountId aAccount, std::int64_t aTokens, Instant aNow) -> void;
   /// Partial: the rows change what the peer told before.
   auto SetPeer(RouterId aPeer,
--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -153,7 +153,9 @@
       // The last is the request's own.
       run.parts_.pop_back();
     }
-    shares_.Give(aItem.account_, Tokens(aItem), aNow);
+    run.account_ = aItem.account_;
+    run.givenTokens_ = Tokens(aItem);
+    shares_.Give(run.account_, run.givenTokens_, aNow);
   }
   runs_[aItem.id_] = run;
   verdicts_.emplace_back(StartWork{ aItem.id_, aCandidate.target_,
@@ -273,8 +275,13 @@
     return;
   }
   mayHaveRoom_ = true;
-  auto& load = loads_.At(found->second.target_);
-  load.Remove(found->second.adds_);
+  const auto& run = found->second;
+  auto& load = loads_.At(run.target_);
+  load.Remove(run.adds_);
+  const bool failed = aEnd == RunEnd::kRefused || aEnd == RunEnd::kFailed;
+  if (failed && !run.begun_ && run.givenTokens_ > 0) {
+    shares_.Give(run.account_, -run.givenTokens_, aNow);
+  }
   switch (aEnd) {
     case RunEnd::kWhole:
       load.OnSuccess();
--- a/src/process/forwarding/dispatcher.h
+++ b/src/process/forwarding/dispatcher.h
@@ -113,6 +113,9 @@
     TargetAmounts adds_;
     Instant started_{};
     int tokensAhead_ = 0;
+    /// What the run counts for in its account's share.
+    AccountId account_;
+    std::int64_t givenTokens_ = 0;
     /// Shared parts of its prompt.
     std::vector<std::uint64_t> parts_;
     bool begun_ = false;
--- a/tests/process/forwarding/dispatcher_test.cpp
+++ b/tests/process/forwarding/dispatcher_test.cpp
@@ -214,6 +214,32 @@
   EXPECT_GE(served["b"], 39);
 }
 
+// Load pattern: many engines are lost while one account floods the pool. What
+// stands back goes where next to nothing waits, so mostly to the lost ones.
+TEST_F(DispatcherTest, RunsThatNeverBeganCountForNoAccount)
+{
+  SetUpPool(2, 64, true, 10'000);
+  const auto given = [&](Instant aNow) {
+    const auto report = dispatcher_->MakeReport(true, aNow);
+    return report.accounts.at(0).givenTokens;
+  };
+  for (const auto end : { RunEnd::kFailed, RunEnd::kRefused }) {
+    dispatcher_->Submit(MakeItem("a", 0, 3000, 0, 1s), 1s);
+    const auto starts = TakeStarts();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_GT(given(1s), 0);
+    dispatcher_->OnRunEnd(starts.begin()->first, end, 1s);
+    EXPECT_EQ(given(1s), 0);
+  }
+  // What has begun counts, however it ends.
+  dispatcher_->Submit(MakeItem("a", 0, 3000, 0, 5s), 5s);
+  const auto starts = TakeStarts();
+  ASSERT_EQ(starts.size(), 1U);
+  dispatcher_->OnFirstEvent(starts.begin()->first, 5s);
+  dispatcher_->OnRunEnd(starts.begin()->first, RunEnd::kFailed, 5s);
+  EXPECT_GT(given(5s), 0);
+}
+
 TEST_F(DispatcherTest, FailedTargetIsAvoidedAndTriedAgain)
 {
   SetUpPool(2, 4, false);
