--- a/tests/main/forward_command_test.cpp
+++ b/tests/main/forward_command_test.cpp
@@ -148,6 +148,23 @@
   }));
 }
 
+// A store that refuses this router's calls is up, and no target's entry lapses
+// for it: what it removes has left.
+TEST_F(ForwardCommandTest, TargetThatLeavesWhileTheStoreRefusesCallsIsLeft)
+{
+  store_.SetFault(StoreFault::kTooManyCalls);
+  std::this_thread::sleep_for(1s);
+  store_.Put(std::string(kStandinTargetTopic), { "i-1", std::nullopt });
+  store_.SetFault(StoreFault::kNone);
+  std::this_thread::sleep_for(1200ms);
+  Seen();
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(Status(Ask("/once/x")), "200");
+  }
+  EXPECT_EQ(first_.TakeRequests().size(), 0U);
+  EXPECT_EQ(second_.TakeRequests().size(), 20U);
+}
+
 TEST_F(ForwardCommandTest, StopFinishesAndEnds)
 {
   process_.Signal(SIGTERM);
