--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -18,6 +18,7 @@
   ReasonRow{ RejectReason::kNoRoom, "no_room" },
   ReasonRow{ RejectReason::kLate, "late" },
   ReasonRow{ RejectReason::kOverShare, "over_share" },
+  ReasonRow{ RejectReason::kResting, "targets_resting" },
 };
 
 /// Generated tokens count twice in an account's use.
@@ -115,7 +116,10 @@
   const auto candidate =
     placement_.Choose(aItem, *service, targets, limits, aNow);
   if (!candidate) {
-    aRefusal->reason_ = RejectReason::kNoTarget;
+    aRefusal->expectedWait_ = RestOfAll(aItem.service_, aNow);
+    aRefusal->reason_ = aRefusal->expectedWait_ > 0us
+                          ? RejectReason::kResting
+                          : RejectReason::kNoTarget;
     return false;
   }
   if (candidate->fits_) {
@@ -158,8 +162,21 @@
     shares_.Give(run.account_, run.givenTokens_, aNow);
   }
   runs_[aItem.id_] = run;
+  loadChanged_ = true;
   verdicts_.emplace_back(StartWork{ aItem.id_, aCandidate.target_,
-                                    aCandidate.wait_, aCandidate.copyFrom_ });
+                                    aCandidate.wait_, aCandidate.copyFrom_,
+                                    aCandidate.adds_ });
+}
+
+auto Dispatcher::RestOfAll(ServiceId aService, Instant aNow) -> Duration
+{
+  const auto& targets = TargetsOf(aService);
+  Duration soonest = targets.empty() ? Duration(0) : Duration::max();
+  for (const auto& target : targets) {
+    const auto left = target.load_->RestsUntil() - aNow;
+    soonest = std::min(soonest, std::max<Duration>(left, 0us));
+  }
+  return soonest;
 }
 
 auto Dispatcher::IsPressed(Instant aNow) const -> bool
@@ -179,6 +196,10 @@
     ownPressedUntil_ = aNow + kPressedTime;
   }
   aRefusal.retryAfter_ = ComeBackTime(aItem, aNow);
+  if (aRefusal.reason_ == RejectReason::kResting) {
+    // Spread behind the end of the rest, as all would come at once.
+    aRefusal.retryAfter_ += aRefusal.expectedWait_ - kMinRetryAfter;
+  }
   verdicts_.emplace_back(aRefusal);
 }
 
@@ -230,7 +251,9 @@
     return;
   }
   const auto giveUpAt = GiveUpTime(aItem);
-  if (giveUpAt <= aNow) {
+  const bool isHopeless = refusal.reason_ == RejectReason::kResting &&
+                          aNow + refusal.expectedWait_ > giveUpAt;
+  if (giveUpAt <= aNow || isHopeless) {
     Reject(aItem, refusal, aNow);
     return;
   }
@@ -252,6 +275,7 @@
   }
   auto& run = found->second;
   mayHaveRoom_ = true;
+  loadChanged_ = true;
   run.begun_ = true;
   auto& load = loads_.At(run.target_);
   load.Remove({ 0, run.adds_.prefillTokens_, 0 });
@@ -275,6 +299,7 @@
     return;
   }
   mayHaveRoom_ = true;
+  loadChanged_ = true;
   const auto& run = found->second;
   auto& load = loads_.At(run.target_);
   load.Remove(run.adds_);
@@ -298,6 +323,27 @@
   runs_.erase(found);
 }
 
+auto Dispatcher::Adopt(RequestId aRequest,
+                       TargetId aTarget,
+                       const TargetAmounts& aAdds,
+                       bool aBegun) -> void
+{
+  Run run;
+  run.target_ = aTarget;
+  run.adds_ = aAdds;
+  run.begun_ = aBegun;
+  loads_.At(aTarget).Add(aAdds);
+  runs_[aRequest] = run;
+  loadChanged_ = true;
+}
+
+auto Dispatcher::Rest(TargetId aTarget, Instant aUntil) -> void
+{
+  if (directory_->Find(aTarget) != nullptr) {
+    loads_.At(aTarget).RestUntil(aUntil);
+  }
+}
+
 auto Dispatcher::Pump(Instant aNow) -> void
 {
   if (waiting_.empty()) {
@@ -307,14 +353,18 @@
   if (mayHaveRoom) {
     SortWaiting(aNow);
   }
+  int failedLooks = 0;
   std::vector<Waiting> still;
   for (auto& waiting : waiting_) {
     const bool isLast = waiting.giveUpAt_ <= aNow;
+    const bool looks = mayHaveRoom && failedLooks < kFailedLooks;
     RejectWork refusal;
     refusal.request_ = waiting.item_.id_;
-    if ((mayHaveRoom || isLast) && TryStart(waiting.item_, aNow, &refusal)) {
+    if ((looks || isLast) && TryStart(waiting.item_, aNow, &refusal)) {
+      failedLooks = 0;
       continue;
     }
+    ++failedLooks;
     if (isLast) {
       Reject(waiting.item_, refusal, aNow);
       continue;
@@ -366,6 +416,7 @@
   report.accounts = shares_.OwnUse(aNow);
   report.pressed = aNow < ownPressedUntil_;
   report.reads = std::exchange(reads_, {});
+  loadChanged_ = false;
   if (aWhole) {
     delta_.ForceWhole();
   }
@@ -373,6 +424,11 @@
   return report;
 }
 
+auto Dispatcher::HasLoadChanged() const -> bool
+{
+  return loadChanged_;
+}
+
 auto Dispatcher::Tick(Instant aNow) -> void
 {
   // Time alone ends avoidances and frees shares.
--- a/src/process/forwarding/dispatcher.h
+++ b/src/process/forwarding/dispatcher.h
@@ -24,6 +24,8 @@
   kNoRoom,
   kLate,
   kOverShare,
+  /// All targets want nothing for a while.
+  kResting,
 };
 
 auto RejectReasonName(RejectReason aReason) -> std::string_view;
@@ -36,6 +38,8 @@
   Duration expectedWait_{};
   /// An engine that the target copies the shared beginning from.
   std::optional<TargetId> copyFrom_;
+  /// What the run adds to the target's load.
+  TargetAmounts adds_;
 };
 
 /// Turn the request away.
@@ -49,20 +53,22 @@
 
 using DispatchVerdict = std::variant<StartWork, RejectWork>;
 
-/// How a run at a target ended.
+/// How a run at a target ended. The numbers go over the wire.
 enum class RunEnd
 {
-  kWhole,
+  kWhole = 0,
   /// The target answered with an error of its own.
-  kError,
+  kError = 1,
   /// The target did not run it.
-  kRefused,
+  kRefused = 2,
   /// The target failed, or the way to it.
-  kFailed,
+  kFailed = 3,
   /// The caller left or the time was up.
-  kCancelled,
+  kCancelled = 4,
 };
 
+constexpr int kRunEndCount = 5;
+
 /// Decides which request starts, waits or is turned away, and where it runs.
 /// No I/O: requests and what became of them go in, verdicts come out.
 ///
@@ -101,6 +107,10 @@
   static constexpr Duration kMaxRetryAfter = 4s;
   /// How often what waits is looked at though nothing is known to have changed.
   static constexpr Duration kFullLookInterval = 25ms;
+  /// Requests in a row that find no room before the rest is left for the next
+  /// look: they stand behind in the order of shares, and each look costs a
+  /// look at every target.
+  static constexpr int kFailedLooks = 12;
   /// Reads that one report tells of; the rest goes unsaid, as it costs but a
   /// copy that finds nothing.
   static constexpr std::size_t kMaxReadsTold = 500;
@@ -150,6 +160,8 @@
   /// Whether room may have come since the last look at what waits.
   bool mayHaveRoom_ = false;
   Instant lastFullLook_{};
+  /// Whether the own load has changed since the last report.
+  bool loadChanged_ = false;
 
   auto TargetsOf(ServiceId aService) -> const std::vector<UsableTarget>&;
   /// Puts those first whose account has used the least part of its share.
@@ -172,13 +184,17 @@
   /// Whether accounts within their share were turned away a moment ago.
   [[nodiscard]] auto IsPressed(Instant aNow) const -> bool;
   auto Reject(const WorkItem& aItem, RejectWork aRefusal, Instant aNow) -> void;
+  /// How long all targets of a service want nothing; zero: one may be used.
+  auto RestOfAll(ServiceId aService, Instant aNow) -> Duration;
   auto ComeBackTime(const WorkItem& aItem, Instant aNow) -> Duration;
-  [[nodiscard]] static auto GiveUpTime(const WorkItem& aItem) -> Instant;
   [[nodiscard]] static auto Tokens(const WorkItem& aItem) -> std::int64_t;
 
 public:
   Dispatcher(TargetDirectory* aDirectory, ZoneId aHome, std::uint32_t aSeed);
 
+  /// When a request that finds no room is turned away.
+  [[nodiscard]] static auto GiveUpTime(const WorkItem& aItem) -> Instant;
+
   auto SetTable(RouteTablePointer aTable) -> void;
   /// Takes a request; its verdict comes at once or by a later Pump.
   auto Submit(WorkItem aItem, Instant aNow) -> void;
@@ -187,6 +203,13 @@
   /// The first event of a run came.
   auto OnFirstEvent(RequestId aRequest, Instant aNow) -> void;
   auto OnRunEnd(RequestId aRequest, RunEnd aEnd, Instant aNow) -> void;
+  /// Takes over a run that another router placed.
+  auto Adopt(RequestId aRequest,
+             TargetId aTarget,
+             const TargetAmounts& aAdds,
+             bool aBegun) -> void;
+  /// The target wants nothing until then.
+  auto Rest(TargetId aTarget, Instant aUntil) -> void;
   /// Looks again at what waits.
   auto Pump(Instant aNow) -> void;
   auto TakeVerdicts() -> std::vector<DispatchVerdict>;
@@ -197,6 +220,8 @@
   /// What has changed since the last report, or all of it where a peer knows
   /// nothing yet.
   auto MakeReport(bool aWhole, Instant aNow) -> wire::LoadReport;
+  /// Whether the next report would tell of other runs than the last.
+  [[nodiscard]] auto HasLoadChanged() const -> bool;
   auto Tick(Instant aNow) -> void;
 
   [[nodiscard]] auto WaitingCount() const -> std::size_t;
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -15,6 +15,8 @@
 
 /// Connections that may fail before any byte is written, for one request.
 constexpr int kMaxUnsentFailures = 3;
+/// Placements of one request that this router gives back before it gives up.
+constexpr int kMaxMisplaced = 3;
 /// Margin within the bound on the freshness of keys, for clock rates.
 constexpr Duration kFreshnessMargin = 250ms;
 /// How soon a caller may come back when this router knows too little.
@@ -229,10 +231,10 @@
   const auto id = aRequest->arrival_.id_;
   if (aRequest->attempting_) {
     effects_.emplace_back(StopAttempt{ id, aRequest->attempt_ });
-    dispatcher_.OnRunEnd(id, RunEnd::kCancelled, aNow);
+    placements_.OnRunEnd(id, RunEnd::kCancelled, aNow);
     aRequest->attempting_ = false;
   } else {
-    dispatcher_.Withdraw(id);
+    placements_.Withdraw(id);
   }
 }
 
@@ -241,26 +243,71 @@
   auto& item = aRequest->item_;
   // A further attempt has its own time to find room.
   item.arrival_ = aNow;
-  dispatcher_.Submit(item, aNow);
+  placements_.Submit(item, aNow);
 }
 
 auto ForwardingNode::TakeVerdicts(Instant aNow) -> void
 {
-  for (const auto& verdict : dispatcher_.TakeVerdicts()) {
-    std::visit([&](const auto& aTyped) { Apply(aTyped, aNow); }, verdict);
+  // Applying a verdict may lead to another.
+  for (bool found = true; found;) {
+    found = false;
+    for (const auto& verdict : dispatcher_.TakeVerdicts()) {
+      found = true;
+      if (!placementServer_.TakeVerdict(verdict, aNow)) {
+        std::visit([&](const auto& aTyped) { Apply(aTyped, aNow); }, verdict);
+      }
+    }
+    for (const auto& verdict : placements_.TakeVerdicts()) {
+      found = true;
+      std::visit([&](const auto& aTyped) { Apply(aTyped, aNow); }, verdict);
+    }
   }
 }
 
+auto ForwardingNode::TakesNothing(TargetId aTarget, Instant aNow) const -> bool
+{
+  const auto* target = directory_.Find(aTarget);
+  const auto* load = dispatcher_.Loads().Find(aTarget);
+  return target == nullptr || target->leaving_ ||
+         (load != nullptr && load->RestsUntil() > aNow);
+}
+
+auto ForwardingNode::PlaceElsewhere(Request* aRequest,
+                                    TargetId aTarget,
+                                    Instant aNow) -> void
+{
+  ++counters_.misplaced_;
+  const auto id = aRequest->arrival_.id_;
+  const auto* load = dispatcher_.Loads().Find(aTarget);
+  if (load != nullptr && load->RestsUntil() > aNow) {
+    placements_.OnRest(id, load->RestsUntil() - aNow);
+  }
+  placements_.OnRunEnd(id, RunEnd::kCancelled, aNow);
+  log_->Write("placed_elsewhere",
+              { { "request", aRequest->arrival_.facts_.attemptId_ },
+                { "times", std::int64_t{ aRequest->misplaced_ } } });
+  if (++aRequest->misplaced_ > kMaxMisplaced) {
+    GiveUp(aRequest, kSoon, "no_target");
+    return;
+  }
+  auto item = aRequest->item_;
+  item.tried_.push_back(aTarget);
+  placements_.Submit(std::move(item), aNow);
+}
+
 auto ForwardingNode::Apply(const StartWork& aVerdict, Instant aNow) -> void
 {
   auto* request = Find(aVerdict.request_);
   const auto* target = directory_.Find(aVerdict.target_);
-  if (request == nullptr || target == nullptr) {
-    dispatcher_.OnRunEnd(aVerdict.request_, RunEnd::kCancelled, aNow);
+  if (request == nullptr) {
+    placements_.OnRunEnd(aVerdict.request_, RunEnd::kCancelled, aNow);
+    return;
+  }
+  if (TakesNothing(aVerdict.target_, aNow)) {
+    PlaceElsewhere(request, aVerdict.target_, aNow);
     return;
   }
   request->machine_.Process(AttemptStarted{});
-  peers_.NoteLoadChanged();
   request->attempting_ = true;
   ++request->attempt_;
   request->target_ = aVerdict.target_;
@@ -347,6 +394,8 @@
       &directory_, aSelf.zone_, static_cast<std::uint32_t>(aIncarnation))
   , peers_(
       std::move(aSelf), aIncarnation, &config_, &dispatcher_, aLog, &effects_)
+  , placements_(&dispatcher_, &peers_.Peers(), aLog)
+  , placementServer_(&dispatcher_)
 {
 }
 
@@ -385,7 +434,7 @@
     GiveUp(request, 0us, "timed_out");
     return;
   }
-  dispatcher_.Submit(request->item_, aNow);
+  placements_.Submit(request->item_, aNow);
   TakeVerdicts(aNow);
 }
 
@@ -420,8 +469,7 @@
     return;
   }
   request->answering_ = true;
-  dispatcher_.OnFirstEvent(aRequest, aNow);
-  peers_.NoteLoadChanged();
+  placements_.OnFirstEvent(aRequest, aNow);
 }
 
 auto ForwardingNode::OnEventForwarded(RequestId aRequest, std::uint64_t aEvent)
@@ -443,12 +491,38 @@
     return;
   }
   ++counters_.whole_;
-  dispatcher_.OnRunEnd(aRequest, aSuccess ? RunEnd::kWhole : RunEnd::kError,
+  placements_.OnRunEnd(aRequest, aSuccess ? RunEnd::kWhole : RunEnd::kError,
                        aNow);
   request->machine_.Process(EndMarkSeen{});
   Erase(*request);
 }
 
+auto ForwardingNode::OnTargetNotice(RequestId aRequest,
+                                    int aAttempt,
+                                    const TargetNotice& aNotice,
+                                    Instant aNow) -> void
+{
+  auto* request = Find(aRequest);
+  if (request == nullptr || request->attempt_ != aAttempt) {
+    return;
+  }
+  const auto target = request->target_;
+  const bool isNews = aNotice.leaves_ && directory_.MarkLeaving(target);
+  if (isNews) {
+    peers_.TellLeaving(target);
+  }
+  if (aNotice.rest_ > 0us) {
+    dispatcher_.Rest(target, aNow + aNotice.rest_);
+    placements_.OnRest(aRequest, aNotice.rest_);
+  }
+  if (isNews || aNotice.rest_ > 0us) {
+    log_->Write("target_notice",
+                { { "request", request->arrival_.facts_.attemptId_ },
+                  { "leaves", std::int64_t{ aNotice.leaves_ ? 1 : 0 } },
+                  { "rest_ms", ToMillis(aNotice.rest_) } });
+  }
+}
+
 auto ForwardingNode::OnAttemptRefused(RequestId aRequest,
                                       int aAttempt,
                                       Instant aNow) -> void
@@ -457,7 +531,7 @@
   if (request == nullptr || request->attempt_ != aAttempt) {
     return;
   }
-  dispatcher_.OnRunEnd(aRequest, RunEnd::kRefused, aNow);
+  placements_.OnRunEnd(aRequest, RunEnd::kRefused, aNow);
   request->attempting_ = false;
   request->machine_.Process(RefusedUnrun{});
   auto& allowance = allowances_[request->item_.service_];
@@ -483,7 +557,7 @@
   if (request == nullptr || request->attempt_ != aAttempt) {
     return;
   }
-  dispatcher_.OnRunEnd(aRequest, RunEnd::kFailed, aNow);
+  placements_.OnRunEnd(aRequest, RunEnd::kFailed, aNow);
   request->attempting_ = false;
   const bool unsent = aStage == AttemptStage::kUnsent;
   const bool may =
@@ -566,6 +640,18 @@
   -> void
 {
   peers_.OnPeer(aEnvelope, aNow);
+  if (aEnvelope.__isset.load) {
+    for (const auto target : aEnvelope.load.leaving) {
+      directory_.MarkLeaving(TargetId{ target });
+    }
+  }
+  if (aEnvelope.__isset.placement) {
+    const RouterId from{ aEnvelope.sender };
+    placementServer_.OnMessage(from, aEnvelope.incarnation,
+                               aEnvelope.placement, aNow);
+    placements_.OnMessage(from, aEnvelope.placement, aNow);
+    TakeVerdicts(aNow);
+  }
 }
 
 auto ForwardingNode::NoteLateness(Duration aLateness, Instant aNow) -> void
@@ -586,6 +672,8 @@
   Expire(aNow);
   directory_.Tick(aNow);
   dispatcher_.Tick(aNow);
+  placements_.Tick(aNow);
+  placementServer_.Tick(aNow);
   dispatcher_.Pump(aNow);
   TakeVerdicts(aNow);
   peers_.Tick(aNow);
@@ -604,6 +692,9 @@
   if (const auto report = peers_.NextWake()) {
     wake = std::min(wake, *report);
   }
+  if (const auto answer = placements_.NextWake()) {
+    wake = std::min(wake, *answer);
+  }
   return wake;
 }
 
@@ -620,6 +711,8 @@
 
 auto ForwardingNode::TakeEffects() -> ForwardingEffects
 {
+  peers_.SendPlacements(placements_.TakeMessages());
+  peers_.SendPlacements(placementServer_.TakeMessages());
   return std::exchange(effects_, {});
 }
 
@@ -664,6 +757,16 @@
   return dispatcher_;
 }
 
+auto ForwardingNode::Placements() const -> const PlacementClient&
+{
+  return placements_;
+}
+
+auto ForwardingNode::PlacementsForOthers() const -> const PlacementServer&
+{
+  return placementServer_;
+}
+
 auto ForwardingNode::Peers() const -> const PeerTable&
 {
   return peers_.Peers();
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -7,6 +7,8 @@
 #include "process/forwarding/forwarding_effects.h"
 #include "process/forwarding/own_capacity.h"
 #include "process/forwarding/peer_exchange.h"
+#include "process/forwarding/placement_client.h"
+#include "process/forwarding/placement_server.h"
 #include "process/forwarding/retry_allowance.h"
 #include "process/forwarding/target_directory.h"
 #include "request/request_facts.h"
@@ -90,6 +92,8 @@
   std::int64_t staleKeys_ = 0;
   /// Turned away as this router's own processor does not keep up.
   std::int64_t overloads_ = 0;
+  /// Placements at a target that this router knows to take nothing.
+  std::int64_t misplaced_ = 0;
 };
 
 /// All decisions of a router that passes requests on whole: which route and
@@ -115,6 +119,8 @@
     /// Attempts that may have reached a target.
     int sentAttempts_ = 0;
     int unsentFailures_ = 0;
+    /// Placements that were given back, as this router knew better.
+    int misplaced_ = 0;
     bool answering_ = false;
     std::optional<std::uint64_t> lastEvent_;
   };
@@ -129,6 +135,8 @@
   std::map<ServiceId, RetryAllowance> allowances_;
   ForwardingEffects effects_;
   PeerExchange peers_;
+  PlacementClient placements_;
+  PlacementServer placementServer_;
   OwnCapacity capacity_;
   ForwardingCounters counters_;
   bool stopping_ = false;
@@ -162,6 +170,11 @@
   auto TryAgain(Request* aRequest, Instant aNow) -> void;
   auto TakeVerdicts(Instant aNow) -> void;
   auto Apply(const StartWork& aVerdict, Instant aNow) -> void;
+  /// Whether this router itself heard that the target takes nothing now.
+  [[nodiscard]] auto TakesNothing(TargetId aTarget, Instant aNow) const -> bool;
+  /// Has a request placed anew whose target takes nothing.
+  auto PlaceElsewhere(Request* aRequest, TargetId aTarget, Instant aNow)
+    -> void;
   auto Apply(const RejectWork& aVerdict, Instant aNow) -> void;
   auto Expire(Instant aNow) -> void;
   auto LogChanges() -> void;
@@ -189,6 +202,11 @@
                      int aAttempt,
                      bool aSuccess,
                      Instant aNow) -> void;
+  /// The attempt's target said something of itself.
+  auto OnTargetNotice(RequestId aRequest,
+                      int aAttempt,
+                      const TargetNotice& aNotice,
+                      Instant aNow) -> void;
   /// The target said that it did not run the request.
   auto OnAttemptRefused(RequestId aRequest, int aAttempt, Instant aNow) -> void;
   auto OnAttemptFailed(RequestId aRequest,
@@ -235,6 +253,8 @@
   [[nodiscard]] auto ConfigAge(Instant aNow) const -> Duration;
   [[nodiscard]] auto Counters() const -> const ForwardingCounters&;
   [[nodiscard]] auto Work() const -> const Dispatcher&;
+  [[nodiscard]] auto Placements() const -> const PlacementClient&;
+  [[nodiscard]] auto PlacementsForOthers() const -> const PlacementServer&;
   [[nodiscard]] auto Peers() const -> const PeerTable&;
   [[nodiscard]] auto AccountOf(RequestId aRequest) const -> std::string_view;
   [[nodiscard]] auto RouteOf(RequestId aRequest) const -> const RouteObject*;
--- a/src/process/forwarding/peer_exchange.cpp
+++ b/src/process/forwarding/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "process/forwarding/peer_exchange.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace burdockring {
@@ -10,7 +11,7 @@
 
 /// A router that has just started, or leaves, works with the same targets as
 /// those that are known to live.
-auto TakesReports(const Peer& aPeer) -> bool
+auto TakesNews(const Peer& aPeer) -> bool
 {
   return aPeer.state_ != PeerState::kDead;
 }
@@ -25,7 +26,74 @@
 auto PeerExchange::ReportInterval() const -> Duration
 {
   return kReportInterval +
-         kReportSpacing * static_cast<int>(peers_.Peers().size());
+         kReportSpacing * static_cast<int>(OtherLeads().size());
+}
+
+auto PeerExchange::AddLeads(ZoneId aZone,
+                            std::vector<const Peer*>* aLeads) const -> void
+{
+  for (const auto* routers :
+       { &peers_.Leads(aZone), &peers_.UnheardLeads(aZone) }) {
+    for (const auto router : *routers) {
+      const auto found = peers_.Peers().find(router);
+      if (found != peers_.Peers().end()) {
+        aLeads->push_back(&found->second);
+      }
+    }
+  }
+}
+
+auto PeerExchange::OtherLeads() const -> std::vector<const Peer*>
+{
+  std::vector<const Peer*> leads;
+  for (const auto zone : peers_.Zones()) {
+    AddLeads(zone, &leads);
+  }
+  return leads;
+}
+
+auto PeerExchange::OwnLeads() const -> std::vector<const Peer*>
+{
+  std::vector<const Peer*> leads;
+  AddLeads(peers_.Self().zone_, &leads);
+  return leads;
+}
+
+auto PeerExchange::Followers() const -> std::vector<const Peer*>
+{
+  std::vector<const Peer*> followers;
+  if (!peers_.IsLead()) {
+    return followers;
+  }
+  const auto leads = OwnLeads();
+  for (const auto& entry : peers_.Peers()) {
+    const auto& peer = entry.second;
+    const bool isLead =
+      std::find(leads.begin(), leads.end(), &peer) != leads.end();
+    if (peer.address_.zone_ == peers_.Self().zone_ && !isLead &&
+        TakesNews(peer)) {
+      followers.push_back(&peer);
+    }
+  }
+  return followers;
+}
+
+auto PeerExchange::TakeLeaving() -> std::vector<std::int32_t>
+{
+  std::vector<std::int32_t> leaving;
+  for (auto& entry : leaving_) {
+    leaving.push_back(entry.first.value_);
+    --entry.second;
+  }
+  std::erase_if(leaving_,
+                [](const auto& aEntry) { return aEntry.second <= 0; });
+  return leaving;
+}
+
+auto PeerExchange::TellsLoad(const wire::LoadReport& aReport) const -> bool
+{
+  return dispatcher_->RunningCount() > 0 || !aReport.targets.empty() ||
+         !aReport.accounts.empty() || !aReport.leaving.empty();
 }
 
 auto PeerExchange::SendHeartbeats(Instant aNow) -> void
@@ -48,24 +116,23 @@
 {
   const bool stamped =
     announces_ || aNow - lastStampedReport_ >= kStampedReportInterval;
-  const bool due = loadChanged_ && aNow - lastReport_ >= ReportInterval();
+  const bool hasNews = dispatcher_->HasLoadChanged() || !leaving_.empty();
+  const bool due = hasNews && aNow - lastReport_ >= ReportInterval();
   if (!stamped && !due) {
     return;
   }
   lastReport_ = aNow;
-  loadChanged_ = false;
   wire::Envelope envelope;
   envelope.__isset.load = true;
   envelope.load = dispatcher_->MakeReport(announces_, aNow);
+  envelope.load.leaving = TakeLeaving();
   if (stamped) {
     SendStampedReports(std::move(envelope), aNow);
     return;
   }
   std::vector<RouterPlace> routers;
-  for (const auto& entry : peers_.Peers()) {
-    if (TakesReports(entry.second)) {
-      routers.push_back(PlaceOf(entry.second));
-    }
+  for (const auto* lead : OtherLeads()) {
+    routers.push_back(PlaceOf(*lead));
   }
   SendToAll(routers, std::move(envelope));
 }
@@ -78,13 +145,25 @@
   aEnvelope.load.configVersion = config_->Table()->Version();
   aEnvelope.load.configAgeMicros = (aNow - config_->AsOf()).count();
   aEnvelope.load.stampMicros = aNow.count();
-  for (const auto& entry : peers_.Peers()) {
-    if (!TakesReports(entry.second)) {
-      continue;
-    }
-    const auto stamp = stamps_.find(entry.first);
-    aEnvelope.load.echoMicros = stamp == stamps_.end() ? 0 : stamp->second;
-    SendTo(entry.second.address_, aEnvelope);
+  auto bare = aEnvelope;
+  bare.load.targets.clear();
+  bare.load.accounts.clear();
+  bare.load.reads.clear();
+  bare.load.leaving.clear();
+  bare.load.partial = true;
+  const auto send = [&](const Peer& aPeer, wire::Envelope& aReport) {
+    const auto stamp = stamps_.find(aPeer.address_.id_);
+    aReport.load.echoMicros = stamp == stamps_.end() ? 0 : stamp->second;
+    SendTo(aPeer.address_, aReport);
+  };
+  // Who is no lead and has placed nothing itself has only its own zone's leads
+  // to hear from.
+  const bool tellsAll = peers_.IsLead() || TellsLoad(aEnvelope.load);
+  for (const auto* lead : tellsAll ? OtherLeads() : OwnLeads()) {
+    send(*lead, aEnvelope);
+  }
+  for (const auto* follower : Followers()) {
+    send(*follower, bare);
   }
 }
 
@@ -144,18 +223,71 @@
 auto PeerExchange::OfferConfiguration(RouterId aTo, std::int64_t aHave) -> void
 {
   const auto peer = peers_.Peers().find(aTo);
+  const auto& text = config_->Text();
+  const auto pieces = (text.size() + kPieceBytes - 1) / kPieceBytes;
   if (peer == peers_.Peers().end() || aHave >= config_->Table()->Version() ||
-      config_->Text().size() > kMaxDatagramBytes) {
+      pieces > kMaxPieces) {
     return;
   }
-  wire::Envelope offer;
-  offer.__isset.configOffer = true;
-  offer.configOffer.version = config_->Table()->Version();
-  offer.configOffer.text = config_->Text();
-  SendTo(peer->second.address_, std::move(offer));
+  for (std::size_t i = 0; i < pieces; ++i) {
+    wire::Envelope offer;
+    offer.__isset.configOffer = true;
+    offer.configOffer.version = config_->Table()->Version();
+    offer.configOffer.text = text.substr(i * kPieceBytes, kPieceBytes);
+    offer.configOffer.piece = static_cast<std::int32_t>(i);
+    offer.configOffer.pieces = static_cast<std::int32_t>(pieces);
+    SendTo(peer->second.address_, std::move(offer));
+  }
 }
 
-auto PeerExchange::OnListNews(const wire::ListNews& aNews, Instant aNow) -> void
+auto PeerExchange::TakeOffer(const wire::ConfigOffer& aOffer) -> void
+{
+  const auto pieces = static_cast<std::size_t>(std::max(aOffer.pieces, 1));
+  const auto piece = static_cast<std::size_t>(std::max(aOffer.piece, 0));
+  if (aOffer.version <= config_->Table()->Version() || pieces > kMaxPieces ||
+      piece >= pieces || aOffer.text.empty()) {
+    return;
+  }
+  if (aOffer.version < piecesVersion_) {
+    return;
+  }
+  if (aOffer.version > piecesVersion_ || pieces_.size() != pieces) {
+    piecesVersion_ = aOffer.version;
+    pieces_.assign(pieces, {});
+  }
+  pieces_[piece] = aOffer.text;
+  std::string text;
+  for (const auto& part : pieces_) {
+    if (part.empty()) {
+      return;
+    }
+    text += part;
+  }
+  piecesVersion_ = 0;
+  pieces_.clear();
+  // How old the peer's word is comes with its next load report.
+  effects_->emplace_back(AdoptConfiguration{ std::move(text), 0us });
+}
+
+auto PeerExchange::TellListNews(const std::vector<const Peer*>& aPeers,
+                                const wire::ListNews& aNews) -> void
+{
+  std::vector<RouterPlace> routers;
+  for (const auto* peer : aPeers) {
+    routers.push_back(PlaceOf(*peer));
+  }
+  if (routers.empty()) {
+    return;
+  }
+  wire::Envelope envelope;
+  envelope.__isset.listNews = true;
+  envelope.listNews = aNews;
+  SendToAll(routers, std::move(envelope));
+}
+
+auto PeerExchange::OnListNews(RouterId aFrom,
+                              const wire::ListNews& aNews,
+                              Instant aNow) -> void
 {
   if (aNews.sharedList < 0 ||
       aNews.sharedList >= static_cast<std::int32_t>(kSharedListCount)) {
@@ -168,20 +300,42 @@
     turns_.Note(list, aNow);
   }
   effects_->emplace_back(TakeListNews{ list, aNews });
+  const auto sender = peers_.Peers().find(aFrom);
+  const bool isFromAfar =
+    sender != peers_.Peers().end() &&
+    sender->second.address_.zone_ != peers_.Self().zone_;
+  if (isFromAfar) {
+    TellListNews(Followers(), aNews);
+  }
 }
 
 auto PeerExchange::RankFor(SharedList aList) const -> int
 {
   const auto& self = peers_.Self();
-  const auto score = [&](RouterId aRouter) {
-    return RendezvousScore(aRouter.value_, static_cast<std::int32_t>(aList),
-                           kReaderSalt);
+  const auto subject = static_cast<std::int32_t>(aList);
+  const auto score = [&](std::int32_t aMember) {
+    return RendezvousScore(aMember, subject, kReaderSalt);
   };
-  int rank = 0;
-  for (const auto router : peers_.LiveInZone(self.zone_)) {
-    if (router != self.id_ && score(router) > score(self.id_)) {
-      ++rank;
+  int zones = 1;
+  int zonesBefore = 0;
+  int leadsElsewhere = 0;
+  for (const auto zone : peers_.Zones()) {
+    const auto& leads = peers_.Leads(zone);
+    if (zone == self.zone_ || leads.empty()) {
+      continue;
     }
+    ++zones;
+    leadsElsewhere += static_cast<int>(leads.size());
+    zonesBefore += score(zone.value_) > score(self.zone_.value_) ? 1 : 0;
+  }
+  const auto& own = peers_.Leads(self.zone_);
+  const auto place = std::find(own.begin(), own.end(), self.id_);
+  if (place != own.end()) {
+    return static_cast<int>(place - own.begin()) * zones + zonesBefore;
+  }
+  int rank = leadsElsewhere + static_cast<int>(own.size());
+  for (const auto router : peers_.LiveInZone(self.zone_)) {
+    rank += score(router.value_) > score(self.id_.value_) ? 1 : 0;
   }
   return rank;
 }
@@ -209,7 +363,7 @@
   , dispatcher_(aDispatcher)
   , log_(aLog)
   , effects_(aEffects)
-  , peers_(std::move(aSelf), aIncarnation)
+  , peers_(std::move(aSelf), aIncarnation, kMostLeads)
 {
 }
 
@@ -231,25 +385,37 @@
   if (aEnvelope.__isset.configRequest) {
     OfferConfiguration(from, aEnvelope.configRequest.haveVersion);
   }
-  if (aEnvelope.__isset.configOffer &&
-      aEnvelope.configOffer.version > config_->Table()->Version()) {
-    // How old the peer's word is comes with its next load report.
-    effects_->emplace_back(
-      AdoptConfiguration{ aEnvelope.configOffer.text, 0us });
+  if (aEnvelope.__isset.configOffer) {
+    TakeOffer(aEnvelope.configOffer);
   }
   if (aEnvelope.__isset.listNews) {
-    OnListNews(aEnvelope.listNews, aNow);
+    OnListNews(from, aEnvelope.listNews, aNow);
   }
 }
 
-auto PeerExchange::NoteLoadChanged() -> void
+auto PeerExchange::TellLeaving(TargetId aTarget) -> void
 {
-  loadChanged_ = true;
+  leaving_[aTarget] = kLeavingRepeats;
+}
+
+auto PeerExchange::SendPlacements(const PlacementOutbox& aOutbox) -> void
+{
+  for (const auto& entry : aOutbox) {
+    const auto peer = peers_.Peers().find(entry.first);
+    if (peer == peers_.Peers().end()) {
+      continue;
+    }
+    wire::Envelope envelope;
+    envelope.__isset.placement = true;
+    envelope.placement = entry.second;
+    SendTo(peer->second.address_, std::move(envelope));
+  }
 }
 
 auto PeerExchange::OnConfigurationInForce(bool aFromSource) -> void
 {
-  announces_ = announces_ || aFromSource;
+  // A lead tells its zone, from wherever it has the configuration.
+  announces_ = announces_ || aFromSource || peers_.IsLead();
   newerSince_.reset();
 }
 
@@ -265,7 +431,7 @@
   if (announces_) {
     return lastReport_;
   }
-  if (!loadChanged_) {
+  if (!dispatcher_->HasLoadChanged() && leaving_.empty()) {
     return std::nullopt;
   }
   return lastReport_ + ReportInterval();
@@ -285,7 +451,9 @@
   }
   if (aList == SharedList::kConfiguration) {
     turns_.Note(aList, config_->AsOf());
-    if (newerSince_ && aNow - *newerSince_ >= kOfferTimeout) {
+    const auto timeout =
+      peers_.IsLead() ? kOfferTimeout : kFarOfferTimeout;
+    if (newerSince_ && aNow - *newerSince_ >= timeout) {
       return turns_.TimeToFirstRead(aList, rank, aNow);
     }
   }
@@ -304,17 +472,8 @@
   if (!aNews || aNews->batch.size() > kMaxDatagramBytes) {
     return;
   }
-  std::vector<RouterPlace> routers;
-  for (const auto& entry : peers_.Peers()) {
-    if (entry.second.address_.zone_ == peers_.Self().zone_ &&
-        TakesReports(entry.second)) {
-      routers.push_back(PlaceOf(entry.second));
-    }
-  }
-  wire::Envelope envelope;
-  envelope.__isset.listNews = true;
-  envelope.listNews = std::move(*aNews);
-  SendToAll(routers, std::move(envelope));
+  TellListNews(OtherLeads(), *aNews);
+  TellListNews(Followers(), *aNews);
 }
 
 auto PeerExchange::Peers() const -> const PeerTable&
--- a/src/process/forwarding/peer_exchange.h
+++ b/src/process/forwarding/peer_exchange.h
@@ -5,35 +5,51 @@
 #include "process/forwarding/dispatcher.h"
 #include "process/forwarding/event_log.h"
 #include "process/forwarding/forwarding_effects.h"
+#include "process/forwarding/placement_wire.h"
 #include "process/forwarding/read_turns.h"
 #include "process/membership/peer_table.h"
 
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace burdockring {
 
 /// What a router tells other routers and hears from them: who lives, each one's
 /// part of the load, the configuration with its age, and news of the lists that
-/// one of a zone reads for the others. Messages are datagrams, each of which
-/// may be lost. Without I/O: what is to be sent goes to the effects.
+/// one reads for the others. Messages are datagrams, each of which may be lost.
+/// Without I/O: what is to be sent goes to the effects.
+///
+/// Leads tell each other all this, and each tells its zone the configuration and
+/// the news; so what a router hears does not grow with the fleet.
 class PeerExchange
 {
+  /// Leads of the whole fleet, which know the load at every target. Each
+  /// hears all others, so their number bounds how old that knowledge is.
+  static constexpr int kMostLeads = 12;
   /// Shortest time between two reports of a load that has changed: a report
   /// that is older than the reading of a prompt misleads.
   static constexpr Duration kReportInterval = 12ms;
-  /// Added to that interval for each peer, so that reports cost the same in a
-  /// fleet of any size.
+  /// Added to that interval for each lead that is told, so that reports cost
+  /// each router the same.
   static constexpr Duration kReportSpacing = 2ms;
   /// Time between reports that also tell the age of the configuration.
   static constexpr Duration kStampedReportInterval = 400ms;
   static constexpr Duration kConfigRequestInterval = 300ms;
   /// A newer configuration that has not come from a peer by then is read at
-  /// its source.
+  /// its source; by those who are no leads later, as the leads have it first
+  /// and a zone's routers should not all read.
   static constexpr Duration kOfferTimeout = 150ms;
-  /// Largest configuration or news that is passed on in a datagram, in bytes.
+  static constexpr Duration kFarOfferTimeout = 900ms;
+  /// Largest piece of a configuration that is passed on in one datagram, and
+  /// most pieces, in bytes.
+  static constexpr std::size_t kPieceBytes = 30'000;
+  static constexpr std::size_t kMaxPieces = 256;
+  /// Largest news that is passed on in a datagram, in bytes.
   static constexpr std::size_t kMaxDatagramBytes = 60'000;
+  /// How many reports tell of a target that leaves.
+  static constexpr int kLeavingRepeats = 3;
 
   std::int64_t incarnation_;
   ConfigInForceState* config_;
@@ -46,17 +62,32 @@
   std::map<RouterId, std::int64_t> stamps_;
   Instant lastReport_{};
   Instant lastStampedReport_{};
-  /// Whether this router's load has changed since the last report.
-  bool loadChanged_ = false;
   bool announces_ = false;
+  /// Targets that said they leave, and how many reports are still to tell so.
+  std::map<TargetId, int> leaving_;
   Instant lastConfigRequest_{};
   /// Since when a peer has had a newer configuration.
   std::optional<Instant> newerSince_;
+  /// Pieces of a newer configuration that have come so far.
+  std::int64_t piecesVersion_ = 0;
+  std::vector<std::string> pieces_;
 
   [[nodiscard]] auto ReportInterval() const -> Duration;
   auto SendHeartbeats(Instant aNow) -> void;
   auto SendReports(Instant aNow) -> void;
   auto SendStampedReports(wire::Envelope aEnvelope, Instant aNow) -> void;
+  /// Whether a report would tell anything of load.
+  [[nodiscard]] auto TellsLoad(const wire::LoadReport& aReport) const -> bool;
+  /// Leads of all zones but this router, those included that may live though
+  /// they were not heard yet.
+  [[nodiscard]] auto OtherLeads() const -> std::vector<const Peer*>;
+  /// Those of the own zone.
+  [[nodiscard]] auto OwnLeads() const -> std::vector<const Peer*>;
+  /// Routers of the own zone that depend on this one for news: none, where this
+  /// one is no lead.
+  [[nodiscard]] auto Followers() const -> std::vector<const Peer*>;
+  auto AddLeads(ZoneId aZone, std::vector<const Peer*>* aLeads) const -> void;
+  auto TakeLeaving() -> std::vector<std::int32_t>;
   auto SendTo(const RouterAddress& aRouter, wire::Envelope aEnvelope) -> void;
   auto SendToAll(const std::vector<RouterPlace>& aRouters,
                  wire::Envelope aEnvelope) -> void;
@@ -65,8 +96,14 @@
                     Instant aNow) -> void;
   auto AskForConfiguration(RouterId aFrom, Instant aNow) -> void;
   auto OfferConfiguration(RouterId aTo, std::int64_t aHave) -> void;
-  auto OnListNews(const wire::ListNews& aNews, Instant aNow) -> void;
-  /// How many live routers of the zone read the list before this one.
+  /// Takes a piece; the configuration is adopted once all have come.
+  auto TakeOffer(const wire::ConfigOffer& aOffer) -> void;
+  auto OnListNews(RouterId aFrom, const wire::ListNews& aNews, Instant aNow)
+    -> void;
+  auto TellListNews(const std::vector<const Peer*>& aPeers,
+                    const wire::ListNews& aNews) -> void;
+  /// How many live routers read the list before this one: the first leads of
+  /// all zones, then the second ones, then the rest of the zone.
   [[nodiscard]] auto RankFor(SharedList aList) const -> int;
   auto LogChanges() -> void;
 
@@ -81,8 +118,10 @@
   auto SetListed(const std::vector<RouterAddress>& aRouters, Instant aNow)
     -> void;
   auto OnPeer(const wire::Envelope& aEnvelope, Instant aNow) -> void;
-  /// This router's work at some target has changed.
-  auto NoteLoadChanged() -> void;
+  /// The target said that it leaves; the leads are told.
+  auto TellLeaving(TargetId aTarget) -> void;
+  /// Sends what has gathered for other routers on requests and runs.
+  auto SendPlacements(const PlacementOutbox& aOutbox) -> void;
   /// The configuration is new. One that was read at its source is told to the
   /// peers at the next tick.
   auto OnConfigurationInForce(bool aFromSource) -> void;
--- a/src/process/forwarding/placement.cpp
+++ b/src/process/forwarding/placement.cpp
@@ -97,7 +97,8 @@
   std::optional<std::size_t> leastAvoided;
   for (std::size_t i = 0; i < aTargets.size(); ++i) {
     const auto& target = aTargets[i];
-    if (HasTried(aItem, target.listed_->id_)) {
+    if (HasTried(aItem, target.listed_->id_) ||
+        target.load_->RestsUntil() > aNow) {
       continue;
     }
     if (!target.load_->IsAvoided(aNow)) {
--- a/src/process/forwarding/read_turns.cpp
+++ b/src/process/forwarding/read_turns.cpp
@@ -38,7 +38,9 @@
   if (aState.failures_ == 0) {
     return 0us;
   }
-  const int longest = aRank < kNearRanks ? kMaxDoublings : kMaxFarDoublings;
+  const int longest = aRank < kNearRanks     ? kMaxDoublings
+                      : aRank < kMaxStaggers ? kMaxFarDoublings
+                                             : kMaxLastDoublings;
   return kFirstPause * (1 << std::min(aState.failures_ - 1, longest));
 }
 
@@ -63,7 +65,8 @@
     return 0us;
   }
   auto due = state.lastWord_ + Row(aList).silence_ +
-             kStagger * std::min(aRank, kMaxStaggers);
+             kStagger * std::min(aRank, kMaxStaggers) +
+             (aRank >= kMaxStaggers ? kLastStagger : Duration(0));
   if (aRank == 0) {
     due = std::min(due, state.lastTry_ + kRetryInterval);
   }
--- a/src/process/forwarding/read_turns.h
+++ b/src/process/forwarding/read_turns.h
@@ -23,11 +23,11 @@
 
 /// Decides when this router reads a list at its source itself.
 ///
-/// The first of a zone's routers, by a rank that all of them work out alike,
-/// reads as often as it can and tells the others. The others read only when
-/// no news has come for some time, one after the other, so that reads at the
-/// source grow with the number of zones and not of routers. Nothing has to be
-/// agreed: a router that hears nothing reads.
+/// The first of all routers, by a rank that all of them work out alike, reads as
+/// often as it can and tells the others. The others read only when no news has
+/// come for some time, one after the other, so that reads at the source do not
+/// grow with the fleet. Nothing has to be agreed: a router that hears nothing
+/// reads, and a zone that is cut off has a first one of its own.
 ///
 /// Load pattern: many routers before one source whose calls are limited and
 /// priced; a source that turns some routers away, or is down.
@@ -40,12 +40,16 @@
   static constexpr Duration kFirstPause = 60ms;
   static constexpr int kMaxDoublings = 2;
   static constexpr int kMaxFarDoublings = 4;
+  static constexpr int kMaxLastDoublings = 6;
   static constexpr int kNearRanks = 2;
   /// A router that fails while others tell it the news tries again so often.
   static constexpr Duration kRetryInterval = 2s;
-  /// How much later each rank takes over, up to so many ranks.
+  /// How much later each rank takes over, up to so many ranks. All behind them
+  /// stand in at once, later still: so many that were turned away by the source
+  /// leave little hope.
   static constexpr Duration kStagger = 120ms;
-  static constexpr int kMaxStaggers = 4;
+  static constexpr int kMaxStaggers = 12;
+  static constexpr Duration kLastStagger = 1s;
 
 private:
   struct State
--- a/src/process/forwarding/target_directory.cpp
+++ b/src/process/forwarding/target_directory.cpp
@@ -26,6 +26,7 @@
   if (found != entries_.end() && found->second.target_.id_ != aTarget.id_) {
     Erase(found);
   }
+  aTarget.leaving_ = aTarget.leaving_ || left_.contains(aTarget.id_);
   const auto inserted = entries_.try_emplace(aKey);
   auto& entry = inserted.first->second;
   const bool left = aTarget.leaving_ && !entry.target_.leaving_;
@@ -78,6 +79,27 @@
   }
 }
 
+auto TargetDirectory::MarkLeaving(TargetId aTarget) -> bool
+{
+  if (left_.size() >= kMaxLeft) {
+    left_.clear();
+  }
+  if (!left_.insert(aTarget).second) {
+    return false;
+  }
+  const auto key = keys_.find(aTarget);
+  if (key == keys_.end()) {
+    return true;
+  }
+  auto& target = entries_.at(key->second).target_;
+  const bool isNews = !target.leaving_;
+  target.leaving_ = true;
+  if (isNews) {
+    Note(target, "leaving");
+  }
+  return isNews;
+}
+
 auto TargetDirectory::SetReachable(bool aReachable, Instant aNow) -> void
 {
   if (!aReachable) {
--- a/src/process/forwarding/target_directory.h
+++ b/src/process/forwarding/target_directory.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -54,8 +55,13 @@
     std::optional<Instant> goneAt_;
   };
 
+  /// Incarnations that are remembered to have left.
+  static constexpr std::size_t kMaxLeft = 16'384;
+
   std::map<std::string, Entry> entries_;
   std::map<TargetId, std::string> keys_;
+  /// Incarnations that said they leave; none of them comes back.
+  std::set<TargetId> left_;
   std::vector<DirectoryChange> changes_;
   std::optional<Instant> awaySince_;
   std::optional<Instant> backSince_;
@@ -70,6 +76,9 @@
   /// Takes the whole list: entries that it lacks are removed.
   auto Replace(const std::vector<std::pair<std::string, ListedTarget>>& aAll,
                Instant aNow) -> void;
+  /// The target said itself, or told a peer, that it leaves. Gives whether that
+  /// was news.
+  auto MarkLeaving(TargetId aTarget) -> bool;
   /// The list is out of reach, or in reach again.
   auto SetReachable(bool aReachable, Instant aNow) -> void;
   /// Drops lapsed entries whose grace has ended.
--- a/src/process/forwarding/target_load.cpp
+++ b/src/process/forwarding/target_load.cpp
@@ -145,6 +145,16 @@
   return avoidUntil_;
 }
 
+auto TargetLoad::RestUntil(Instant aUntil) -> void
+{
+  restsUntil_ = std::max(restsUntil_, aUntil);
+}
+
+auto TargetLoad::RestsUntil() const -> Instant
+{
+  return restsUntil_;
+}
+
 auto TargetLoad::Own() const -> const TargetAmounts&
 {
   return own_;
--- a/src/process/forwarding/target_load.h
+++ b/src/process/forwarding/target_load.h
@@ -70,6 +70,7 @@
   double pace_ = 1.0;
   int failures_ = 0;
   Instant avoidUntil_{};
+  Instant restsUntil_{};
 
   auto DropOldParts(Instant aNow) -> void;
 
@@ -97,6 +98,10 @@
   auto OnFailure(Instant aNow) -> void;
   [[nodiscard]] auto IsAvoided(Instant aNow) const -> bool;
   [[nodiscard]] auto AvoidUntil() const -> Instant;
+  /// The target asked for no requests until then; unlike one that failed it is
+  /// not tried sooner.
+  auto RestUntil(Instant aUntil) -> void;
+  [[nodiscard]] auto RestsUntil() const -> Instant;
 
   [[nodiscard]] auto Own() const -> const TargetAmounts&;
   [[nodiscard]] auto Total() const -> TargetAmounts;
--- a/src/process/membership/peer_table.cpp
+++ b/src/process/membership/peer_table.cpp
@@ -34,6 +34,37 @@
                           aPeer.state_ == PeerState::kSuspect);
 }
 
+/// Salt of the order of a zone's leads.
+constexpr std::int32_t kLeadSalt = 41;
+
+auto LeadScore(const RouterAddress& aRouter) -> std::pair<int, std::uint64_t>
+{
+  return { aRouter.millicores_, RendezvousScore(aRouter.id_.value_,
+                                                aRouter.zone_.value_,
+                                                kLeadSalt) };
+}
+
+/// Keeps the first so many routers, in the order of leads.
+auto KeepLeads(std::vector<const RouterAddress*> aRouters, std::size_t aMost)
+  -> std::vector<RouterId>
+{
+  std::sort(aRouters.begin(), aRouters.end(),
+            [](const auto* aLeft, const auto* aRight) {
+              return LeadScore(*aLeft) > LeadScore(*aRight);
+            });
+  std::vector<RouterId> leads;
+  for (std::size_t i = 0; i < std::min(aMost, aRouters.size()); ++i) {
+    leads.push_back(aRouters[i]->id_);
+  }
+  return leads;
+}
+
+auto Contains(const std::vector<RouterId>& aRouters, RouterId aRouter) -> bool
+{
+  return std::find(aRouters.begin(), aRouters.end(), aRouter) !=
+         aRouters.end();
+}
+
 } // namespace
 
 auto PeerStateName(PeerState aState) -> std::string_view
@@ -73,11 +104,81 @@
   std::erase_if(gatewaySince_, [&](const auto& aEntry) {
     return !ownGateways_.contains(aEntry.first);
   });
+  for (auto& entry : peers_) {
+    NoteDirect(entry.first, &entry.second, aNow);
+  }
   for (auto& entry : peers_) {
     Judge(entry.first, &entry.second, aNow);
   }
 }
 
+auto PeerTable::FindLeads(ZoneId aZone) const -> ZoneLeads
+{
+  const auto zones = static_cast<int>(Zones().size());
+  const auto most =
+    mostLeads_ == 0
+      ? peers_.size() + 1
+      : static_cast<std::size_t>(std::max(kLeastLeads, mostLeads_ / zones));
+  std::vector<const RouterAddress*> live;
+  std::vector<const RouterAddress*> unheard;
+  for (const auto router : MembersOf(aZone)) {
+    const auto& peer = peers_.at(router);
+    if (IsUsable(peer)) {
+      live.push_back(&peer.address_);
+    } else if (peer.state_ == PeerState::kUnknown && peer.listed_) {
+      unheard.push_back(&peer.address_);
+    }
+  }
+  if (aZone == self_.zone_ && !leaving_) {
+    live.push_back(&self_);
+  }
+  return { KeepLeads(std::move(live), most),
+           KeepLeads(std::move(unheard), most) };
+}
+
+auto PeerTable::LeadsOf(ZoneId aZone) const -> const ZoneLeads&
+{
+  if (leadsAsOf_ != version_) {
+    leads_.clear();
+    leadsAsOf_ = version_;
+  }
+  const auto found = leads_.find(aZone);
+  if (found != leads_.end()) {
+    return found->second;
+  }
+  return leads_.emplace(aZone, FindLeads(aZone)).first->second;
+}
+
+auto PeerTable::NoteDirect(RouterId aId, Peer* aPeer, Instant aNow) -> void
+{
+  const bool direct =
+    aPeer->address_.zone_ == self_.zone_ &&
+    (mostLeads_ == 0 || IsLead() || Contains(Leads(self_.zone_), aId));
+  // One that only now should be heard has had no time to speak yet.
+  if (direct && !aPeer->direct_ && mostLeads_ > 0) {
+    aPeer->directSince_ = aNow;
+  }
+  aPeer->direct_ = direct;
+}
+
+auto PeerTable::Correspondents(Instant aNow) const -> std::vector<RouterId>
+{
+  const auto& members = MembersOf(self_.zone_);
+  if (mostLeads_ == 0 || IsLead()) {
+    return members;
+  }
+  std::vector<RouterId> routers;
+  for (const auto router : members) {
+    const auto& peer = peers_.at(router);
+    const bool speaks =
+      peer.heardDirectly_ && aNow - peer.lastDirect_ < kAnswerTime;
+    if (speaks || Contains(Leads(self_.zone_), router)) {
+      routers.push_back(router);
+    }
+  }
+  return routers;
+}
+
 auto PeerTable::MembersOf(ZoneId aZone) const -> const std::vector<RouterId>&
 {
   static const std::vector<RouterId> none;
@@ -87,15 +188,20 @@
 
 auto PeerTable::Judge(RouterId aId, Peer* aPeer, Instant aNow) -> void
 {
+  if (aPeer->state_ == PeerState::kUnknown && mostLeads_ > 0 &&
+      aNow - aPeer->lastHeard_ > kUnheardLife) {
+    SetState(aId, aPeer, PeerState::kDead);
+  }
   if (aPeer->state_ == PeerState::kUnknown ||
       aPeer->state_ == PeerState::kDead) {
     return;
   }
-  if (aPeer->address_.zone_ != self_.zone_) {
+  if (!aPeer->direct_) {
     JudgeRemote(aId, aPeer, aNow);
     return;
   }
-  const auto silent = aNow - aPeer->lastHeard_;
+  const auto silent =
+    aNow - std::max(aPeer->lastHeard_, aPeer->directSince_);
   if (silent > kProbeAfter && !aPeer->probed_) {
     aPeer->probed_ = true;
     probes_.push_back(aId);
@@ -138,7 +244,8 @@
     return;
   }
   const auto found = peers_.find(id);
-  if (found == peers_.end() || found->second.address_.zone_ == self_.zone_) {
+  if (found == peers_.end() || found->second.direct_ ||
+      (mostLeads_ == 0 && found->second.address_.zone_ == self_.zone_)) {
     return;
   }
   auto& peer = found->second;
@@ -174,14 +281,18 @@
   -> std::vector<wire::MemberNews>
 {
   std::vector<wire::MemberNews> news;
+  const bool tellsOfZone = mostLeads_ > 0 && IsLead();
   for (auto& entry : peers_) {
     auto& peer = entry.second;
     if (peer.state_ == PeerState::kUnknown) {
       continue;
     }
     const bool sameZone = peer.address_.zone_ == self_.zone_;
-    const bool lost = sameZone && peer.state_ == PeerState::kDead;
-    const bool mine = !sameZone && ownGateways_.contains(peer.address_.zone_);
+    const bool lost =
+      sameZone && peer.direct_ && peer.state_ == PeerState::kDead;
+    const bool mine = sameZone
+                        ? tellsOfZone
+                        : ownGateways_.contains(peer.address_.zone_);
     const bool fresh = mine && (aFull || peer.newsRepeats_ > 0);
     if (!lost && !fresh) {
       continue;
@@ -213,11 +324,11 @@
       bestScore = score;
     }
   };
-  for (const auto router : MembersOf(aFrom)) {
-    look(router, IsUsable(peers_.at(router)));
+  for (const auto router : Leads(aFrom)) {
+    look(router, true);
   }
   if (aFrom == self_.zone_) {
-    look(self_.id_, true);
+    look(self_.id_, mostLeads_ == 0 || !best);
   }
   if (best) {
     return best;
@@ -253,9 +364,12 @@
   return heartbeat;
 }
 
-PeerTable::PeerTable(RouterAddress aSelf, std::int64_t aIncarnation)
+PeerTable::PeerTable(RouterAddress aSelf,
+                     std::int64_t aIncarnation,
+                     int aMostLeads)
   : self_(std::move(aSelf))
   , incarnation_(aIncarnation)
+  , mostLeads_(aMostLeads)
 {
 }
 
@@ -317,6 +431,7 @@
   peer.incarnation_ = aIncarnation;
   peer.lastHeard_ = aNow;
   peer.heardDirectly_ = true;
+  peer.lastDirect_ = aNow;
   peer.probed_ = false;
   peer.configVersion_ = aHeartbeat.configVersion;
   SetState(aFrom, &peer,
@@ -344,7 +459,7 @@
     auto heartbeat = MakeHeartbeat();
     heartbeat.configVersion = aConfigVersion;
     heartbeat.members = NewsForZone(aNow, full);
-    for (const auto router : MembersOf(self_.zone_)) {
+    for (const auto router : Correspondents(aNow)) {
       heartbeats.push_back({ router, heartbeat });
     }
   }
@@ -387,6 +502,34 @@
   return live;
 }
 
+auto PeerTable::Leads(ZoneId aZone) const -> const std::vector<RouterId>&
+{
+  return LeadsOf(aZone).live_;
+}
+
+auto PeerTable::UnheardLeads(ZoneId aZone) const
+  -> const std::vector<RouterId>&
+{
+  return LeadsOf(aZone).unheard_;
+}
+
+auto PeerTable::IsLead() const -> bool
+{
+  return Contains(Leads(self_.zone_), self_.id_);
+}
+
+auto PeerTable::Zones() const -> std::vector<ZoneId>
+{
+  std::vector<ZoneId> zones;
+  for (const auto& entry : zones_) {
+    zones.push_back(entry.first);
+  }
+  if (!zones_.contains(self_.zone_)) {
+    zones.push_back(self_.zone_);
+  }
+  return zones;
+}
+
 auto PeerTable::LiveCount() const -> int
 {
   const auto live =
--- a/src/process/membership/peer_table.h
+++ b/src/process/membership/peer_table.h
@@ -36,6 +36,8 @@
   std::string host_;
   std::uint16_t peerPort_ = 0;
   std::uint16_t operatorPort_ = 0;
+  /// Its share of processors, in thousandths of a core; zero: not known.
+  int millicores_ = 0;
 };
 
 struct Peer
@@ -46,6 +48,12 @@
   /// When the peer was last heard of, directly or by news.
   Instant lastHeard_{};
   bool heardDirectly_ = false;
+  /// When the peer itself was last heard.
+  Instant lastDirect_{};
+  /// Whether this router and the peer should hear each other's heartbeats, and
+  /// since when.
+  bool direct_ = false;
+  Instant directSince_{};
   /// Whether the peer says that it does not hear this router.
   bool deaf_ = false;
   bool probed_ = false;
@@ -70,10 +78,16 @@
 };
 
 /// Knows which routers there are and which of them live. Within a zone every
-/// router hears every other. Between two zones one router on each side, chosen
-/// by rendezvous, exchanges heartbeats that carry its zone's members, and tells
-/// its own zone what it heard; so the heartbeats of a node grow with the size
-/// of its zone and not of the fleet.
+/// router hears the zone's leads, which hear everyone and tell the others who
+/// lives; in a small zone all are leads. Between two zones one lead on each
+/// side, chosen by rendezvous, exchanges heartbeats that carry its zone's
+/// members, and tells its own zone what it heard. So the heartbeats of a router
+/// grow with the number of leads, and those of a lead with the size of its
+/// zone, not with the fleet.
+///
+/// The leads of a zone are its live routers with the most processor, in an
+/// order on which all agree who hear the same routers. Nothing is agreed
+/// beyond that: two views at once cost messages, never a rule.
 ///
 /// A peer that is silent is first probed on a new connection, then suspected,
 /// then dead. A peer that says it does not hear this router is not used, so
@@ -90,9 +104,29 @@
   static constexpr Duration kNewsInterval = 5s;
   static constexpr Duration kNewsLife = 16s;
   static constexpr int kNewsRepeats = 3;
+  /// Leads of a zone however many zones there are, so that the loss of one
+  /// leaves another that knows as much.
+  static constexpr int kLeastLeads = 2;
+  /// How long a listed router that was never heard may still turn up. Full
+  /// news of a zone comes within it.
+  static constexpr Duration kUnheardLife = 6s;
+  /// A router that is sent heartbeats answers with its own for so long.
+  static constexpr Duration kAnswerTime = 1s;
+
+  struct ZoneLeads
+  {
+    std::vector<RouterId> live_;
+    /// Listed routers that may live though they were not heard yet.
+    std::vector<RouterId> unheard_;
+  };
 
   RouterAddress self_;
   std::int64_t incarnation_;
+  /// Leads of the whole fleet; zero: all routers of each zone.
+  int mostLeads_;
+  /// Of each zone, as of version leadsAsOf_.
+  mutable std::map<ZoneId, ZoneLeads> leads_;
+  mutable std::int64_t leadsAsOf_ = 0;
   bool leaving_ = false;
   std::int64_t sequence_ = 0;
   std::int64_t zoneSequence_ = 0;
@@ -115,6 +149,13 @@
   auto SetState(RouterId aId, Peer* aPeer, PeerState aState) -> void;
   auto SetDeaf(Peer* aPeer, bool aDeaf) -> void;
   auto JudgeAll(Instant aNow) -> void;
+  [[nodiscard]] auto LeadsOf(ZoneId aZone) const -> const ZoneLeads&;
+  [[nodiscard]] auto FindLeads(ZoneId aZone) const -> ZoneLeads;
+  /// Notes whether the peer should be heard itself, and since when.
+  auto NoteDirect(RouterId aId, Peer* aPeer, Instant aNow) -> void;
+  /// Routers of the own zone that heartbeats go to.
+  [[nodiscard]] auto Correspondents(Instant aNow) const
+    -> std::vector<RouterId>;
   auto Judge(RouterId aId, Peer* aPeer, Instant aNow) -> void;
   auto JudgeRemote(RouterId aId, Peer* aPeer, Instant aNow) -> void;
   auto TakeNews(RouterId aFrom, const wire::MemberNews& aNews, Instant aNow)
@@ -132,7 +173,10 @@
   [[nodiscard]] auto MakeHeartbeat() -> wire::Heartbeat;
 
 public:
-  PeerTable(RouterAddress aSelf, std::int64_t aIncarnation);
+  /// aMostLeads: leads of the whole fleet; zero: every router is one.
+  PeerTable(RouterAddress aSelf,
+            std::int64_t aIncarnation,
+            int aMostLeads = 0);
 
   /// Takes the list of routers that may be there. Those no longer listed stay
   /// while they are heard.
@@ -151,6 +195,16 @@
 
   /// Routers of a zone that may be given work, this one included.
   [[nodiscard]] auto LiveInZone(ZoneId aZone) const -> std::vector<RouterId>;
+  /// The zone's leads, first in order first; this router among them where it is
+  /// one.
+  [[nodiscard]] auto Leads(ZoneId aZone) const -> const std::vector<RouterId>&;
+  /// Listed routers, not heard yet, that would be leads of the zone.
+  [[nodiscard]] auto UnheardLeads(ZoneId aZone) const
+    -> const std::vector<RouterId>&;
+  /// Whether this router is a lead of its zone.
+  [[nodiscard]] auto IsLead() const -> bool;
+  /// All zones with a listed router, and the own one.
+  [[nodiscard]] auto Zones() const -> std::vector<ZoneId>;
   [[nodiscard]] auto LiveCount() const -> int;
   /// The router that schedules a service's targets in a zone, as seen here:
   /// one of the zone's own, or any live router where the zone has none.
--- a/src/request/request_facts.h
+++ b/src/request/request_facts.h
@@ -36,6 +36,15 @@
   std::optional<std::uint64_t> lastEvent_;
 };
 
+/// What a target says of itself beside an answer.
+struct TargetNotice
+{
+  /// Whether it is about to leave, and should get nothing more.
+  bool leaves_ = false;
+  /// How long it wants no requests from this router; zero: it takes them.
+  Duration rest_{};
+};
+
 /// What a target says in the header of an answer.
 struct AnswerFacts
 {
@@ -49,6 +58,7 @@
   bool isOtherTarget_ = false;
   /// Whether the body is encoded, which no target does.
   bool isEncoded_ = false;
+  TargetNotice notice_;
 };
 
 } // namespace burdockring
--- a/src/wire/gen/peer_types.cpp
+++ b/src/wire/gen/peer_types.cpp
@@ -2089,6 +2089,14 @@
 void ConfigOffer::__set_text(const std::string& val) {
   this->text = val;
 }
+
+void ConfigOffer::__set_piece(const int32_t val) {
+  this->piece = val;
+}
+
+void ConfigOffer::__set_pieces(const int32_t val) {
+  this->pieces = val;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigOffer& obj)
 {
   obj.printTo(out);
@@ -2149,6 +2157,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->piece);
+          this->__isset.piece = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pieces);
+          this->__isset.pieces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2182,6 +2206,14 @@
   xfer += oprot->writeString(this->text);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("piece", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->piece);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pieces", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->pieces);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2193,6 +2225,8 @@
   swap(a.judgedTo, b.judgedTo);
   swap(a.changeId, b.changeId);
   swap(a.text, b.text);
+  swap(a.piece, b.piece);
+  swap(a.pieces, b.pieces);
   swap(a.__isset, b.__isset);
 }
 
@@ -2201,6 +2235,8 @@
   judgedTo = other70.judgedTo;
   changeId = other70.changeId;
   text = other70.text;
+  piece = other70.piece;
+  pieces = other70.pieces;
   __isset = other70.__isset;
 }
 ConfigOffer& ConfigOffer::operator=(const ConfigOffer& other71) {
@@ -2208,6 +2244,8 @@
   judgedTo = other71.judgedTo;
   changeId = other71.changeId;
   text = other71.text;
+  piece = other71.piece;
+  pieces = other71.pieces;
   __isset = other71.__isset;
   return *this;
 }
@@ -2218,6 +2256,8 @@
   out << ", " << "judgedTo=" << to_string(judgedTo);
   out << ", " << "changeId=" << to_string(changeId);
   out << ", " << "text=" << to_string(text);
+  out << ", " << "piece=" << to_string(piece);
+  out << ", " << "pieces=" << to_string(pieces);
   out << ")";
 }
 
@@ -2590,33 +2630,1245 @@
 }
 void AccountUse::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AccountUse(";
-  out << "account=" << to_string(account);
-  out << ", " << "askedTokens=" << to_string(askedTokens);
-  out << ", " << "givenTokens=" << to_string(givenTokens);
+  out << "AccountUse(";
+  out << "account=" << to_string(account);
+  out << ", " << "askedTokens=" << to_string(askedTokens);
+  out << ", " << "givenTokens=" << to_string(givenTokens);
+  out << ")";
+}
+
+
+PartRead::~PartRead() noexcept {
+}
+
+
+void PartRead::__set_target(const int32_t val) {
+  this->target = val;
+}
+
+void PartRead::__set_part(const int64_t val) {
+  this->part = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartRead& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartRead::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartRead::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartRead");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartRead &a, PartRead &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.part, b.part);
+  swap(a.__isset, b.__isset);
+}
+
+PartRead::PartRead(const PartRead& other78) noexcept {
+  target = other78.target;
+  part = other78.part;
+  __isset = other78.__isset;
+}
+PartRead& PartRead::operator=(const PartRead& other79) noexcept {
+  target = other79.target;
+  part = other79.part;
+  __isset = other79.__isset;
+  return *this;
+}
+void PartRead::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartRead(";
+  out << "target=" << to_string(target);
+  out << ", " << "part=" << to_string(part);
+  out << ")";
+}
+
+
+LoadReport::~LoadReport() noexcept {
+}
+
+
+void LoadReport::__set_targets(const std::vector<TargetUse> & val) {
+  this->targets = val;
+}
+
+void LoadReport::__set_accounts(const std::vector<AccountUse> & val) {
+  this->accounts = val;
+}
+
+void LoadReport::__set_configVersion(const int64_t val) {
+  this->configVersion = val;
+}
+
+void LoadReport::__set_configAgeMicros(const int64_t val) {
+  this->configAgeMicros = val;
+}
+
+void LoadReport::__set_stampMicros(const int64_t val) {
+  this->stampMicros = val;
+}
+
+void LoadReport::__set_echoMicros(const int64_t val) {
+  this->echoMicros = val;
+}
+
+void LoadReport::__set_pressed(const bool val) {
+  this->pressed = val;
+}
+
+void LoadReport::__set_reads(const std::vector<PartRead> & val) {
+  this->reads = val;
+}
+
+void LoadReport::__set_partial(const bool val) {
+  this->partial = val;
+}
+
+void LoadReport::__set_leaving(const std::vector<int32_t> & val) {
+  this->leaving = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->targets.clear();
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->targets.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
+            {
+              xfer += this->targets[_i84].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->accounts.clear();
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->accounts.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
+            {
+              xfer += this->accounts[_i89].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.accounts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configVersion);
+          this->__isset.configVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configAgeMicros);
+          this->__isset.configAgeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stampMicros);
+          this->__isset.stampMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->echoMicros);
+          this->__isset.echoMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->pressed);
+          this->__isset.pressed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->reads.clear();
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->reads.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
+            {
+              xfer += this->reads[_i94].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.reads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->partial);
+          this->__isset.partial = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving.clear();
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->leaving.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
+            {
+              xfer += iprot->readI32(this->leaving[_i99]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadReport");
+
+  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
+    std::vector<TargetUse> ::const_iterator _iter100;
+    for (_iter100 = this->targets.begin(); _iter100 != this->targets.end(); ++_iter100)
+    {
+      xfer += (*_iter100).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
+    std::vector<AccountUse> ::const_iterator _iter101;
+    for (_iter101 = this->accounts.begin(); _iter101 != this->accounts.end(); ++_iter101)
+    {
+      xfer += (*_iter101).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configVersion", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->configVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configAgeMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->configAgeMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stampMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->stampMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("echoMicros", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->echoMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pressed", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->pressed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reads", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reads.size()));
+    std::vector<PartRead> ::const_iterator _iter102;
+    for (_iter102 = this->reads.begin(); _iter102 != this->reads.end(); ++_iter102)
+    {
+      xfer += (*_iter102).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("partial", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->partial);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->leaving.size()));
+    std::vector<int32_t> ::const_iterator _iter103;
+    for (_iter103 = this->leaving.begin(); _iter103 != this->leaving.end(); ++_iter103)
+    {
+      xfer += oprot->writeI32((*_iter103));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadReport &a, LoadReport &b) {
+  using ::std::swap;
+  swap(a.targets, b.targets);
+  swap(a.accounts, b.accounts);
+  swap(a.configVersion, b.configVersion);
+  swap(a.configAgeMicros, b.configAgeMicros);
+  swap(a.stampMicros, b.stampMicros);
+  swap(a.echoMicros, b.echoMicros);
+  swap(a.pressed, b.pressed);
+  swap(a.reads, b.reads);
+  swap(a.partial, b.partial);
+  swap(a.leaving, b.leaving);
+  swap(a.__isset, b.__isset);
+}
+
+LoadReport::LoadReport(const LoadReport& other104) {
+  targets = other104.targets;
+  accounts = other104.accounts;
+  configVersion = other104.configVersion;
+  configAgeMicros = other104.configAgeMicros;
+  stampMicros = other104.stampMicros;
+  echoMicros = other104.echoMicros;
+  pressed = other104.pressed;
+  reads = other104.reads;
+  partial = other104.partial;
+  leaving = other104.leaving;
+  __isset = other104.__isset;
+}
+LoadReport& LoadReport::operator=(const LoadReport& other105) {
+  targets = other105.targets;
+  accounts = other105.accounts;
+  configVersion = other105.configVersion;
+  configAgeMicros = other105.configAgeMicros;
+  stampMicros = other105.stampMicros;
+  echoMicros = other105.echoMicros;
+  pressed = other105.pressed;
+  reads = other105.reads;
+  partial = other105.partial;
+  leaving = other105.leaving;
+  __isset = other105.__isset;
+  return *this;
+}
+void LoadReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadReport(";
+  out << "targets=" << to_string(targets);
+  out << ", " << "accounts=" << to_string(accounts);
+  out << ", " << "configVersion=" << to_string(configVersion);
+  out << ", " << "configAgeMicros=" << to_string(configAgeMicros);
+  out << ", " << "stampMicros=" << to_string(stampMicros);
+  out << ", " << "echoMicros=" << to_string(echoMicros);
+  out << ", " << "pressed=" << to_string(pressed);
+  out << ", " << "reads=" << to_string(reads);
+  out << ", " << "partial=" << to_string(partial);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ")";
+}
+
+
+PlaceAsk::~PlaceAsk() noexcept {
+}
+
+
+void PlaceAsk::__set_request(const int64_t val) {
+  this->request = val;
+}
+
+void PlaceAsk::__set_serviceId(const int32_t val) {
+  this->serviceId = val;
+}
+
+void PlaceAsk::__set_account(const int32_t val) {
+  this->account = val;
+}
+
+void PlaceAsk::__set_aimMicros(const int64_t val) {
+  this->aimMicros = val;
+}
+
+void PlaceAsk::__set_waitedMicros(const int64_t val) {
+  this->waitedMicros = val;
+}
+
+void PlaceAsk::__set_patienceMicros(const int64_t val) {
+  this->patienceMicros = val;
+}
+
+void PlaceAsk::__set_goesOn(const bool val) {
+  this->goesOn = val;
+}
+
+void PlaceAsk::__set_promptTokens(const int32_t val) {
+  this->promptTokens = val;
+}
+
+void PlaceAsk::__set_outputTokens(const int32_t val) {
+  this->outputTokens = val;
+}
+
+void PlaceAsk::__set_parts(const std::string& val) {
+  this->parts = val;
+}
+
+void PlaceAsk::__set_partTokens(const std::vector<int32_t> & val) {
+  this->partTokens = val;
+}
+
+void PlaceAsk::__set_tried(const std::vector<int32_t> & val) {
+  this->tried = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlaceAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->serviceId);
+          this->__isset.serviceId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->aimMicros);
+          this->__isset.aimMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waitedMicros);
+          this->__isset.waitedMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->patienceMicros);
+          this->__isset.patienceMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->goesOn);
+          this->__isset.goesOn = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->promptTokens);
+          this->__isset.promptTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outputTokens);
+          this->__isset.outputTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->parts);
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->partTokens.clear();
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->partTokens.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
+            {
+              xfer += iprot->readI32(this->partTokens[_i110]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.partTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tried.clear();
+            uint32_t _size111;
+            ::apache::thrift::protocol::TType _etype114;
+            xfer += iprot->readListBegin(_etype114, _size111);
+            this->tried.resize(_size111);
+            uint32_t _i115;
+            for (_i115 = 0; _i115 < _size111; ++_i115)
+            {
+              xfer += iprot->readI32(this->tried[_i115]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tried = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlaceAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlaceAsk");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceId", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->serviceId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("aimMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->aimMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitedMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->waitedMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("patienceMicros", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->patienceMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("goesOn", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->goesOn);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("promptTokens", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->promptTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outputTokens", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->outputTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeBinary(this->parts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("partTokens", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->partTokens.size()));
+    std::vector<int32_t> ::const_iterator _iter116;
+    for (_iter116 = this->partTokens.begin(); _iter116 != this->partTokens.end(); ++_iter116)
+    {
+      xfer += oprot->writeI32((*_iter116));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tried", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->tried.size()));
+    std::vector<int32_t> ::const_iterator _iter117;
+    for (_iter117 = this->tried.begin(); _iter117 != this->tried.end(); ++_iter117)
+    {
+      xfer += oprot->writeI32((*_iter117));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlaceAsk &a, PlaceAsk &b) {
+  using ::std::swap;
+  swap(a.request, b.request);
+  swap(a.serviceId, b.serviceId);
+  swap(a.account, b.account);
+  swap(a.aimMicros, b.aimMicros);
+  swap(a.waitedMicros, b.waitedMicros);
+  swap(a.patienceMicros, b.patienceMicros);
+  swap(a.goesOn, b.goesOn);
+  swap(a.promptTokens, b.promptTokens);
+  swap(a.outputTokens, b.outputTokens);
+  swap(a.parts, b.parts);
+  swap(a.partTokens, b.partTokens);
+  swap(a.tried, b.tried);
+  swap(a.__isset, b.__isset);
+}
+
+PlaceAsk::PlaceAsk(const PlaceAsk& other118) {
+  request = other118.request;
+  serviceId = other118.serviceId;
+  account = other118.account;
+  aimMicros = other118.aimMicros;
+  waitedMicros = other118.waitedMicros;
+  patienceMicros = other118.patienceMicros;
+  goesOn = other118.goesOn;
+  promptTokens = other118.promptTokens;
+  outputTokens = other118.outputTokens;
+  parts = other118.parts;
+  partTokens = other118.partTokens;
+  tried = other118.tried;
+  __isset = other118.__isset;
+}
+PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other119) {
+  request = other119.request;
+  serviceId = other119.serviceId;
+  account = other119.account;
+  aimMicros = other119.aimMicros;
+  waitedMicros = other119.waitedMicros;
+  patienceMicros = other119.patienceMicros;
+  goesOn = other119.goesOn;
+  promptTokens = other119.promptTokens;
+  outputTokens = other119.outputTokens;
+  parts = other119.parts;
+  partTokens = other119.partTokens;
+  tried = other119.tried;
+  __isset = other119.__isset;
+  return *this;
+}
+void PlaceAsk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlaceAsk(";
+  out << "request=" << to_string(request);
+  out << ", " << "serviceId=" << to_string(serviceId);
+  out << ", " << "account=" << to_string(account);
+  out << ", " << "aimMicros=" << to_string(aimMicros);
+  out << ", " << "waitedMicros=" << to_string(waitedMicros);
+  out << ", " << "patienceMicros=" << to_string(patienceMicros);
+  out << ", " << "goesOn=" << to_string(goesOn);
+  out << ", " << "promptTokens=" << to_string(promptTokens);
+  out << ", " << "outputTokens=" << to_string(outputTokens);
+  out << ", " << "parts=" << to_string(parts);
+  out << ", " << "partTokens=" << to_string(partTokens);
+  out << ", " << "tried=" << to_string(tried);
+  out << ")";
+}
+
+
+PlaceAnswer::~PlaceAnswer() noexcept {
+}
+
+
+void PlaceAnswer::__set_request(const int64_t val) {
+  this->request = val;
+}
+
+void PlaceAnswer::__set_outcome(const int32_t val) {
+  this->outcome = val;
+}
+
+void PlaceAnswer::__set_target(const int32_t val) {
+  this->target = val;
+}
+
+void PlaceAnswer::__set_copyFrom(const int32_t val) {
+  this->copyFrom = val;
+}
+
+void PlaceAnswer::__set_expectedWaitMicros(const int64_t val) {
+  this->expectedWaitMicros = val;
+}
+
+void PlaceAnswer::__set_reason(const int32_t val) {
+  this->reason = val;
+}
+
+void PlaceAnswer::__set_retryAfterMicros(const int64_t val) {
+  this->retryAfterMicros = val;
+}
+
+void PlaceAnswer::__set_prefillTokens(const int32_t val) {
+  this->prefillTokens = val;
+}
+
+void PlaceAnswer::__set_memoryTokens(const int32_t val) {
+  this->memoryTokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlaceAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outcome);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->copyFrom);
+          this->__isset.copyFrom = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expectedWaitMicros);
+          this->__isset.expectedWaitMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retryAfterMicros);
+          this->__isset.retryAfterMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->prefillTokens);
+          this->__isset.prefillTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->memoryTokens);
+          this->__isset.memoryTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlaceAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlaceAnswer");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->outcome);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("copyFrom", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->copyFrom);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expectedWaitMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->expectedWaitMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryAfterMicros", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->retryAfterMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prefillTokens", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->prefillTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("memoryTokens", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->memoryTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlaceAnswer &a, PlaceAnswer &b) {
+  using ::std::swap;
+  swap(a.request, b.request);
+  swap(a.outcome, b.outcome);
+  swap(a.target, b.target);
+  swap(a.copyFrom, b.copyFrom);
+  swap(a.expectedWaitMicros, b.expectedWaitMicros);
+  swap(a.reason, b.reason);
+  swap(a.retryAfterMicros, b.retryAfterMicros);
+  swap(a.prefillTokens, b.prefillTokens);
+  swap(a.memoryTokens, b.memoryTokens);
+  swap(a.__isset, b.__isset);
+}
+
+PlaceAnswer::PlaceAnswer(const PlaceAnswer& other120) noexcept {
+  request = other120.request;
+  outcome = other120.outcome;
+  target = other120.target;
+  copyFrom = other120.copyFrom;
+  expectedWaitMicros = other120.expectedWaitMicros;
+  reason = other120.reason;
+  retryAfterMicros = other120.retryAfterMicros;
+  prefillTokens = other120.prefillTokens;
+  memoryTokens = other120.memoryTokens;
+  __isset = other120.__isset;
+}
+PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other121) noexcept {
+  request = other121.request;
+  outcome = other121.outcome;
+  target = other121.target;
+  copyFrom = other121.copyFrom;
+  expectedWaitMicros = other121.expectedWaitMicros;
+  reason = other121.reason;
+  retryAfterMicros = other121.retryAfterMicros;
+  prefillTokens = other121.prefillTokens;
+  memoryTokens = other121.memoryTokens;
+  __isset = other121.__isset;
+  return *this;
+}
+void PlaceAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlaceAnswer(";
+  out << "request=" << to_string(request);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "copyFrom=" << to_string(copyFrom);
+  out << ", " << "expectedWaitMicros=" << to_string(expectedWaitMicros);
+  out << ", " << "reason=" << to_string(reason);
+  out << ", " << "retryAfterMicros=" << to_string(retryAfterMicros);
+  out << ", " << "prefillTokens=" << to_string(prefillTokens);
+  out << ", " << "memoryTokens=" << to_string(memoryTokens);
+  out << ")";
+}
+
+
+RunNote::~RunNote() noexcept {
+}
+
+
+void RunNote::__set_request(const int64_t val) {
+  this->request = val;
+}
+
+void RunNote::__set_event(const int32_t val) {
+  this->event = val;
+}
+
+void RunNote::__set_restMicros(const int64_t val) {
+  this->restMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunNote& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunNote::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->event);
+          this->__isset.event = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->restMicros);
+          this->__isset.restMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunNote::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunNote");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("event", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->event);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("restMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->restMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunNote &a, RunNote &b) {
+  using ::std::swap;
+  swap(a.request, b.request);
+  swap(a.event, b.event);
+  swap(a.restMicros, b.restMicros);
+  swap(a.__isset, b.__isset);
+}
+
+RunNote::RunNote(const RunNote& other122) noexcept {
+  request = other122.request;
+  event = other122.event;
+  restMicros = other122.restMicros;
+  __isset = other122.__isset;
+}
+RunNote& RunNote::operator=(const RunNote& other123) noexcept {
+  request = other123.request;
+  event = other123.event;
+  restMicros = other123.restMicros;
+  __isset = other123.__isset;
+  return *this;
+}
+void RunNote::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunNote(";
+  out << "request=" << to_string(request);
+  out << ", " << "event=" << to_string(event);
+  out << ", " << "restMicros=" << to_string(restMicros);
   out << ")";
 }
 
 
-PartRead::~PartRead() noexcept {
+RunRow::~RunRow() noexcept {
 }
 
 
-void PartRead::__set_target(const int32_t val) {
+void RunRow::__set_request(const int64_t val) {
+  this->request = val;
+}
+
+void RunRow::__set_target(const int32_t val) {
   this->target = val;
 }
 
-void PartRead::__set_part(const int64_t val) {
-  this->part = val;
+void RunRow::__set_prefillTokens(const int32_t val) {
+  this->prefillTokens = val;
 }
-std::ostream& operator<<(std::ostream& out, const PartRead& obj)
+
+void RunRow::__set_memoryTokens(const int32_t val) {
+  this->memoryTokens = val;
+}
+
+void RunRow::__set_begun(const bool val) {
+  this->begun = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunRow& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PartRead::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RunRow::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2638,6 +3890,14 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->target);
           this->__isset.target = true;
@@ -2645,10 +3905,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->part);
-          this->__isset.part = true;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->prefillTokens);
+          this->__isset.prefillTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->memoryTokens);
+          this->__isset.memoryTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->begun);
+          this->__isset.begun = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2665,17 +3941,29 @@
   return xfer;
 }
 
-uint32_t PartRead::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RunRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PartRead");
+  xfer += oprot->writeStructBegin("RunRow");
 
-  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_I32, 2);
   xfer += oprot->writeI32(this->target);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldBegin("prefillTokens", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->prefillTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("memoryTokens", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->memoryTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("begun", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->begun);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2683,80 +3971,76 @@
   return xfer;
 }
 
-void swap(PartRead &a, PartRead &b) {
+void swap(RunRow &a, RunRow &b) {
   using ::std::swap;
+  swap(a.request, b.request);
   swap(a.target, b.target);
-  swap(a.part, b.part);
+  swap(a.prefillTokens, b.prefillTokens);
+  swap(a.memoryTokens, b.memoryTokens);
+  swap(a.begun, b.begun);
   swap(a.__isset, b.__isset);
 }
 
-PartRead::PartRead(const PartRead& other78) noexcept {
-  target = other78.target;
-  part = other78.part;
-  __isset = other78.__isset;
-}
-PartRead& PartRead::operator=(const PartRead& other79) noexcept {
-  target = other79.target;
-  part = other79.part;
-  __isset = other79.__isset;
+RunRow::RunRow(const RunRow& other124) noexcept {
+  request = other124.request;
+  target = other124.target;
+  prefillTokens = other124.prefillTokens;
+  memoryTokens = other124.memoryTokens;
+  begun = other124.begun;
+  __isset = other124.__isset;
+}
+RunRow& RunRow::operator=(const RunRow& other125) noexcept {
+  request = other125.request;
+  target = other125.target;
+  prefillTokens = other125.prefillTokens;
+  memoryTokens = other125.memoryTokens;
+  begun = other125.begun;
+  __isset = other125.__isset;
   return *this;
 }
-void PartRead::printTo(std::ostream& out) const {
+void RunRow::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PartRead(";
-  out << "target=" << to_string(target);
-  out << ", " << "part=" << to_string(part);
+  out << "RunRow(";
+  out << "request=" << to_string(request);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "prefillTokens=" << to_string(prefillTokens);
+  out << ", " << "memoryTokens=" << to_string(memoryTokens);
+  out << ", " << "begun=" << to_string(begun);
   out << ")";
 }
 
 
-LoadReport::~LoadReport() noexcept {
-}
-
-
-void LoadReport::__set_targets(const std::vector<TargetUse> & val) {
-  this->targets = val;
-}
-
-void LoadReport::__set_accounts(const std::vector<AccountUse> & val) {
-  this->accounts = val;
-}
-
-void LoadReport::__set_configVersion(const int64_t val) {
-  this->configVersion = val;
+Placement::~Placement() noexcept {
 }
 
-void LoadReport::__set_configAgeMicros(const int64_t val) {
-  this->configAgeMicros = val;
-}
 
-void LoadReport::__set_stampMicros(const int64_t val) {
-  this->stampMicros = val;
+void Placement::__set_asks(const std::vector<PlaceAsk> & val) {
+  this->asks = val;
 }
 
-void LoadReport::__set_echoMicros(const int64_t val) {
-  this->echoMicros = val;
+void Placement::__set_answers(const std::vector<PlaceAnswer> & val) {
+  this->answers = val;
 }
 
-void LoadReport::__set_pressed(const bool val) {
-  this->pressed = val;
+void Placement::__set_notes(const std::vector<RunNote> & val) {
+  this->notes = val;
 }
 
-void LoadReport::__set_reads(const std::vector<PartRead> & val) {
-  this->reads = val;
+void Placement::__set_whole(const bool val) {
+  this->whole = val;
 }
 
-void LoadReport::__set_partial(const bool val) {
-  this->partial = val;
+void Placement::__set_runs(const std::vector<RunRow> & val) {
+  this->runs = val;
 }
-std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
+std::ostream& operator<<(std::ostream& out, const Placement& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LoadReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Placement::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2780,19 +4064,19 @@
       case 1:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->targets.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->targets.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            this->asks.clear();
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _etype129;
+            xfer += iprot->readListBegin(_etype129, _size126);
+            this->asks.resize(_size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
             {
-              xfer += this->targets[_i84].read(iprot);
+              xfer += this->asks[_i130].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.targets = true;
+          this->__isset.asks = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2800,87 +4084,67 @@
       case 2:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->accounts.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->accounts.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            this->answers.clear();
+            uint32_t _size131;
+            ::apache::thrift::protocol::TType _etype134;
+            xfer += iprot->readListBegin(_etype134, _size131);
+            this->answers.resize(_size131);
+            uint32_t _i135;
+            for (_i135 = 0; _i135 < _size131; ++_i135)
             {
-              xfer += this->accounts[_i89].read(iprot);
+              xfer += this->answers[_i135].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.accounts = true;
+          this->__isset.answers = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->configVersion);
-          this->__isset.configVersion = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->notes.clear();
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->notes.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
+            {
+              xfer += this->notes[_i140].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.notes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->configAgeMicros);
-          this->__isset.configAgeMicros = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->stampMicros);
-          this->__isset.stampMicros = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->echoMicros);
-          this->__isset.echoMicros = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->pressed);
-          this->__isset.pressed = true;
+          xfer += iprot->readBool(this->whole);
+          this->__isset.whole = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->reads.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->reads.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            this->runs.clear();
+            uint32_t _size141;
+            ::apache::thrift::protocol::TType _etype144;
+            xfer += iprot->readListBegin(_etype144, _size141);
+            this->runs.resize(_size141);
+            uint32_t _i145;
+            for (_i145 = 0; _i145 < _size141; ++_i145)
             {
-              xfer += this->reads[_i94].read(iprot);
+              xfer += this->runs[_i145].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.reads = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->partial);
-          this->__isset.partial = true;
+          this->__isset.runs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2897,127 +4161,103 @@
   return xfer;
 }
 
-uint32_t LoadReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Placement::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LoadReport");
+  xfer += oprot->writeStructBegin("Placement");
 
-  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 1);
+  xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 1);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<TargetUse> ::const_iterator _iter95;
-    for (_iter95 = this->targets.begin(); _iter95 != this->targets.end(); ++_iter95)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
+    std::vector<PlaceAsk> ::const_iterator _iter146;
+    for (_iter146 = this->asks.begin(); _iter146 != this->asks.end(); ++_iter146)
     {
-      xfer += (*_iter95).write(oprot);
+      xfer += (*_iter146).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<AccountUse> ::const_iterator _iter96;
-    for (_iter96 = this->accounts.begin(); _iter96 != this->accounts.end(); ++_iter96)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
+    std::vector<PlaceAnswer> ::const_iterator _iter147;
+    for (_iter147 = this->answers.begin(); _iter147 != this->answers.end(); ++_iter147)
     {
-      xfer += (*_iter96).write(oprot);
+      xfer += (*_iter147).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("configVersion", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->configVersion);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("configAgeMicros", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->configAgeMicros);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("stampMicros", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->stampMicros);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("echoMicros", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->echoMicros);
+  xfer += oprot->writeFieldBegin("notes", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notes.size()));
+    std::vector<RunNote> ::const_iterator _iter148;
+    for (_iter148 = this->notes.begin(); _iter148 != this->notes.end(); ++_iter148)
+    {
+      xfer += (*_iter148).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("pressed", ::apache::thrift::protocol::T_BOOL, 7);
-  xfer += oprot->writeBool(this->pressed);
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->whole);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("reads", ::apache::thrift::protocol::T_LIST, 8);
+  xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 5);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reads.size()));
-    std::vector<PartRead> ::const_iterator _iter97;
-    for (_iter97 = this->reads.begin(); _iter97 != this->reads.end(); ++_iter97)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
+    std::vector<RunRow> ::const_iterator _iter149;
+    for (_iter149 = this->runs.begin(); _iter149 != this->runs.end(); ++_iter149)
     {
-      xfer += (*_iter97).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("partial", ::apache::thrift::protocol::T_BOOL, 9);
-  xfer += oprot->writeBool(this->partial);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(LoadReport &a, LoadReport &b) {
+void swap(Placement &a, Placement &b) {
   using ::std::swap;
-  swap(a.targets, b.targets);
-  swap(a.accounts, b.accounts);
-  swap(a.configVersion, b.configVersion);
-  swap(a.configAgeMicros, b.configAgeMicros);
-  swap(a.stampMicros, b.stampMicros);
-  swap(a.echoMicros, b.echoMicros);
-  swap(a.pressed, b.pressed);
-  swap(a.reads, b.reads);
-  swap(a.partial, b.partial);
+  swap(a.asks, b.asks);
+  swap(a.answers, b.answers);
+  swap(a.notes, b.notes);
+  swap(a.whole, b.whole);
+  swap(a.runs, b.runs);
   swap(a.__isset, b.__isset);
 }
 
-LoadReport::LoadReport(const LoadReport& other98) {
-  targets = other98.targets;
-  accounts = other98.accounts;
-  configVersion = other98.configVersion;
-  configAgeMicros = other98.configAgeMicros;
-  stampMicros = other98.stampMicros;
-  echoMicros = other98.echoMicros;
-  pressed = other98.pressed;
-  reads = other98.reads;
-  partial = other98.partial;
-  __isset = other98.__isset;
-}
-LoadReport& LoadReport::operator=(const LoadReport& other99) {
-  targets = other99.targets;
-  accounts = other99.accounts;
-  configVersion = other99.configVersion;
-  configAgeMicros = other99.configAgeMicros;
-  stampMicros = other99.stampMicros;
-  echoMicros = other99.echoMicros;
-  pressed = other99.pressed;
-  reads = other99.reads;
-  partial = other99.partial;
-  __isset = other99.__isset;
+Placement::Placement(const Placement& other150) {
+  asks = other150.asks;
+  answers = other150.answers;
+  notes = other150.notes;
+  whole = other150.whole;
+  runs = other150.runs;
+  __isset = other150.__isset;
+}
+Placement& Placement::operator=(const Placement& other151) {
+  asks = other151.asks;
+  answers = other151.answers;
+  notes = other151.notes;
+  whole = other151.whole;
+  runs = other151.runs;
+  __isset = other151.__isset;
   return *this;
 }
-void LoadReport::printTo(std::ostream& out) const {
+void Placement::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LoadReport(";
-  out << "targets=" << to_string(targets);
-  out << ", " << "accounts=" << to_string(accounts);
-  out << ", " << "configVersion=" << to_string(configVersion);
-  out << ", " << "configAgeMicros=" << to_string(configAgeMicros);
-  out << ", " << "stampMicros=" << to_string(stampMicros);
-  out << ", " << "echoMicros=" << to_string(echoMicros);
-  out << ", " << "pressed=" << to_string(pressed);
-  out << ", " << "reads=" << to_string(reads);
-  out << ", " << "partial=" << to_string(partial);
+  out << "Placement(";
+  out << "asks=" << to_string(asks);
+  out << ", " << "answers=" << to_string(answers);
+  out << ", " << "notes=" << to_string(notes);
+  out << ", " << "whole=" << to_string(whole);
+  out << ", " << "runs=" << to_string(runs);
   out << ")";
 }
 
@@ -3165,21 +4405,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ListNews::ListNews(const ListNews& other100) {
-  sharedList = other100.sharedList;
-  fromOffset = other100.fromOffset;
-  toOffset = other100.toOffset;
-  reachable = other100.reachable;
-  batch = other100.batch;
-  __isset = other100.__isset;
-}
-ListNews& ListNews::operator=(const ListNews& other101) {
-  sharedList = other101.sharedList;
-  fromOffset = other101.fromOffset;
-  toOffset = other101.toOffset;
-  reachable = other101.reachable;
-  batch = other101.batch;
-  __isset = other101.__isset;
+ListNews::ListNews(const ListNews& other152) {
+  sharedList = other152.sharedList;
+  fromOffset = other152.fromOffset;
+  toOffset = other152.toOffset;
+  reachable = other152.reachable;
+  batch = other152.batch;
+  __isset = other152.__isset;
+}
+ListNews& ListNews::operator=(const ListNews& other153) {
+  sharedList = other153.sharedList;
+  fromOffset = other153.fromOffset;
+  toOffset = other153.toOffset;
+  reachable = other153.reachable;
+  batch = other153.batch;
+  __isset = other153.__isset;
   return *this;
 }
 void ListNews::printTo(std::ostream& out) const {
@@ -3249,14 +4489,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size102;
-            ::apache::thrift::protocol::TType _etype105;
-            xfer += iprot->readListBegin(_etype105, _size102);
-            this->waiting.resize(_size102);
-            uint32_t _i106;
-            for (_i106 = 0; _i106 < _size102; ++_i106)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->waiting.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += iprot->readI32(this->waiting[_i106]);
+              xfer += iprot->readI32(this->waiting[_i158]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3269,14 +4509,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->charged.clear();
-            uint32_t _size107;
-            ::apache::thrift::protocol::TType _etype110;
-            xfer += iprot->readListBegin(_etype110, _size107);
-            this->charged.resize(_size107);
-            uint32_t _i111;
-            for (_i111 = 0; _i111 < _size107; ++_i111)
+            uint32_t _size159;
+            ::apache::thrift::protocol::TType _etype162;
+            xfer += iprot->readListBegin(_etype162, _size159);
+            this->charged.resize(_size159);
+            uint32_t _i163;
+            for (_i163 = 0; _i163 < _size159; ++_i163)
             {
-              xfer += iprot->readI64(this->charged[_i111]);
+              xfer += iprot->readI64(this->charged[_i163]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3309,10 +4549,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<int32_t> ::const_iterator _iter112;
-    for (_iter112 = this->waiting.begin(); _iter112 != this->waiting.end(); ++_iter112)
+    std::vector<int32_t> ::const_iterator _iter164;
+    for (_iter164 = this->waiting.begin(); _iter164 != this->waiting.end(); ++_iter164)
     {
-      xfer += oprot->writeI32((*_iter112));
+      xfer += oprot->writeI32((*_iter164));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3321,10 +4561,10 @@
   xfer += oprot->writeFieldBegin("charged", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->charged.size()));
-    std::vector<int64_t> ::const_iterator _iter113;
-    for (_iter113 = this->charged.begin(); _iter113 != this->charged.end(); ++_iter113)
+    std::vector<int64_t> ::const_iterator _iter165;
+    for (_iter165 = this->charged.begin(); _iter165 != this->charged.end(); ++_iter165)
     {
-      xfer += oprot->writeI64((*_iter113));
+      xfer += oprot->writeI64((*_iter165));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3343,17 +4583,17 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandColumns::DemandColumns(const DemandColumns& other114) {
-  accounts = other114.accounts;
-  waiting = other114.waiting;
-  charged = other114.charged;
-  __isset = other114.__isset;
+DemandColumns::DemandColumns(const DemandColumns& other166) {
+  accounts = other166.accounts;
+  waiting = other166.waiting;
+  charged = other166.charged;
+  __isset = other166.__isset;
 }
-DemandColumns& DemandColumns::operator=(const DemandColumns& other115) {
-  accounts = other115.accounts;
-  waiting = other115.waiting;
-  charged = other115.charged;
-  __isset = other115.__isset;
+DemandColumns& DemandColumns::operator=(const DemandColumns& other167) {
+  accounts = other167.accounts;
+  waiting = other167.waiting;
+  charged = other167.charged;
+  __isset = other167.__isset;
   return *this;
 }
 void DemandColumns::printTo(std::ostream& out) const {
@@ -3421,14 +4661,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->held.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->held.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += iprot->readI32(this->held[_i120]);
+              xfer += iprot->readI32(this->held[_i172]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3441,14 +4681,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->idle.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->idle.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->idle.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
             {
-              xfer += iprot->readI32(this->idle[_i125]);
+              xfer += iprot->readI32(this->idle[_i177]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3481,10 +4721,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->held.size()));
-    std::vector<int32_t> ::const_iterator _iter126;
-    for (_iter126 = this->held.begin(); _iter126 != this->held.end(); ++_iter126)
+    std::vector<int32_t> ::const_iterator _iter178;
+    for (_iter178 = this->held.begin(); _iter178 != this->held.end(); ++_iter178)
     {
-      xfer += oprot->writeI32((*_iter126));
+      xfer += oprot->writeI32((*_iter178));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3493,10 +4733,10 @@
   xfer += oprot->writeFieldBegin("idle", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->idle.size()));
-    std::vector<int32_t> ::const_iterator _iter127;
-    for (_iter127 = this->idle.begin(); _iter127 != this->idle.end(); ++_iter127)
+    std::vector<int32_t> ::const_iterator _iter179;
+    for (_iter179 = this->idle.begin(); _iter179 != this->idle.end(); ++_iter179)
     {
-      xfer += oprot->writeI32((*_iter127));
+      xfer += oprot->writeI32((*_iter179));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3515,17 +4755,17 @@
   swap(a.__isset, b.__isset);
 }
 
-HeldColumns::HeldColumns(const HeldColumns& other128) {
-  targets = other128.targets;
-  held = other128.held;
-  idle = other128.idle;
-  __isset = other128.__isset;
+HeldColumns::HeldColumns(const HeldColumns& other180) {
+  targets = other180.targets;
+  held = other180.held;
+  idle = other180.idle;
+  __isset = other180.__isset;
 }
-HeldColumns& HeldColumns::operator=(const HeldColumns& other129) {
-  targets = other129.targets;
-  held = other129.held;
-  idle = other129.idle;
-  __isset = other129.__isset;
+HeldColumns& HeldColumns::operator=(const HeldColumns& other181) {
+  targets = other181.targets;
+  held = other181.held;
+  idle = other181.idle;
+  __isset = other181.__isset;
   return *this;
 }
 void HeldColumns::printTo(std::ostream& out) const {
@@ -3593,14 +4833,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size130;
-            ::apache::thrift::protocol::TType _etype133;
-            xfer += iprot->readListBegin(_etype133, _size130);
-            this->counts.resize(_size130);
-            uint32_t _i134;
-            for (_i134 = 0; _i134 < _size130; ++_i134)
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _etype185;
+            xfer += iprot->readListBegin(_etype185, _size182);
+            this->counts.resize(_size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
             {
-              xfer += iprot->readI32(this->counts[_i134]);
+              xfer += iprot->readI32(this->counts[_i186]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3641,10 +4881,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
-    std::vector<int32_t> ::const_iterator _iter135;
-    for (_iter135 = this->counts.begin(); _iter135 != this->counts.end(); ++_iter135)
+    std::vector<int32_t> ::const_iterator _iter187;
+    for (_iter187 = this->counts.begin(); _iter187 != this->counts.end(); ++_iter187)
     {
-      xfer += oprot->writeI32((*_iter135));
+      xfer += oprot->writeI32((*_iter187));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3667,17 +4907,17 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantColumns::GrantColumns(const GrantColumns& other136) {
-  targets = other136.targets;
-  counts = other136.counts;
-  accounts = other136.accounts;
-  __isset = other136.__isset;
+GrantColumns::GrantColumns(const GrantColumns& other188) {
+  targets = other188.targets;
+  counts = other188.counts;
+  accounts = other188.accounts;
+  __isset = other188.__isset;
 }
-GrantColumns& GrantColumns::operator=(const GrantColumns& other137) {
-  targets = other137.targets;
-  counts = other137.counts;
-  accounts = other137.accounts;
-  __isset = other137.__isset;
+GrantColumns& GrantColumns::operator=(const GrantColumns& other189) {
+  targets = other189.targets;
+  counts = other189.counts;
+  accounts = other189.accounts;
+  __isset = other189.__isset;
   return *this;
 }
 void GrantColumns::printTo(std::ostream& out) const {
@@ -3741,14 +4981,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tags.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->tags.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size190;
+            ::apache::thrift::protocol::TType _etype193;
+            xfer += iprot->readListBegin(_etype193, _size190);
+            this->tags.resize(_size190);
+            uint32_t _i194;
+            for (_i194 = 0; _i194 < _size190; ++_i194)
             {
-              xfer += iprot->readI64(this->tags[_i142]);
+              xfer += iprot->readI64(this->tags[_i194]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3781,10 +5021,10 @@
   xfer += oprot->writeFieldBegin("tags", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tags.size()));
-    std::vector<int64_t> ::const_iterator _iter143;
-    for (_iter143 = this->tags.begin(); _iter143 != this->tags.end(); ++_iter143)
+    std::vector<int64_t> ::const_iterator _iter195;
+    for (_iter195 = this->tags.begin(); _iter195 != this->tags.end(); ++_iter195)
     {
-      xfer += oprot->writeI64((*_iter143));
+      xfer += oprot->writeI64((*_iter195));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3802,15 +5042,15 @@
   swap(a.__isset, b.__isset);
 }
 
-TagColumns::TagColumns(const TagColumns& other144) {
-  accounts = other144.accounts;
-  tags = other144.tags;
-  __isset = other144.__isset;
+TagColumns::TagColumns(const TagColumns& other196) {
+  accounts = other196.accounts;
+  tags = other196.tags;
+  __isset = other196.__isset;
 }
-TagColumns& TagColumns::operator=(const TagColumns& other145) {
-  accounts = other145.accounts;
-  tags = other145.tags;
-  __isset = other145.__isset;
+TagColumns& TagColumns::operator=(const TagColumns& other197) {
+  accounts = other197.accounts;
+  tags = other197.tags;
+  __isset = other197.__isset;
   return *this;
 }
 void TagColumns::printTo(std::ostream& out) const {
@@ -3877,14 +5117,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->charged.clear();
-            uint32_t _size146;
-            ::apache::thrift::protocol::TType _etype149;
-            xfer += iprot->readListBegin(_etype149, _size146);
-            this->charged.resize(_size146);
-            uint32_t _i150;
-            for (_i150 = 0; _i150 < _size146; ++_i150)
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _etype201;
+            xfer += iprot->readListBegin(_etype201, _size198);
+            this->charged.resize(_size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
             {
-              xfer += iprot->readI64(this->charged[_i150]);
+              xfer += iprot->readI64(this->charged[_i202]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3897,14 +5137,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tags.clear();
-            uint32_t _size151;
-            ::apache::thrift::protocol::TType _etype154;
-            xfer += iprot->readListBegin(_etype154, _size151);
-            this->tags.resize(_size151);
-            uint32_t _i155;
-            for (_i155 = 0; _i155 < _size151; ++_i155)
+            uint32_t _size203;
+            ::apache::thrift::protocol::TType _etype206;
+            xfer += iprot->readListBegin(_etype206, _size203);
+            this->tags.resize(_size203);
+            uint32_t _i207;
+            for (_i207 = 0; _i207 < _size203; ++_i207)
             {
-              xfer += iprot->readI64(this->tags[_i155]);
+              xfer += iprot->readI64(this->tags[_i207]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3937,10 +5177,10 @@
   xfer += oprot->writeFieldBegin("charged", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->charged.size()));
-    std::vector<int64_t> ::const_iterator _iter156;
-    for (_iter156 = this->charged.begin(); _iter156 != this->charged.end(); ++_iter156)
+    std::vector<int64_t> ::const_iterator _iter208;
+    for (_iter208 = this->charged.begin(); _iter208 != this->charged.end(); ++_iter208)
     {
-      xfer += oprot->writeI64((*_iter156));
+      xfer += oprot->writeI64((*_iter208));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3949,10 +5189,10 @@
   xfer += oprot->writeFieldBegin("tags", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tags.size()));
-    std::vector<int64_t> ::const_iterator _iter157;
-    for (_iter157 = this->tags.begin(); _iter157 != this->tags.end(); ++_iter157)
+    std::vector<int64_t> ::const_iterator _iter209;
+    for (_iter209 = this->tags.begin(); _iter209 != this->tags.end(); ++_iter209)
     {
-      xfer += oprot->writeI64((*_iter157));
+      xfer += oprot->writeI64((*_iter209));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3971,17 +5211,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ExchangeColumns::ExchangeColumns(const ExchangeColumns& other158) {
-  accounts = other158.accounts;
-  charged = other158.charged;
-  tags = other158.tags;
-  __isset = other158.__isset;
+ExchangeColumns::ExchangeColumns(const ExchangeColumns& other210) {
+  accounts = other210.accounts;
+  charged = other210.charged;
+  tags = other210.tags;
+  __isset = other210.__isset;
 }
-ExchangeColumns& ExchangeColumns::operator=(const ExchangeColumns& other159) {
-  accounts = other159.accounts;
-  charged = other159.charged;
-  tags = other159.tags;
-  __isset = other159.__isset;
+ExchangeColumns& ExchangeColumns::operator=(const ExchangeColumns& other211) {
+  accounts = other211.accounts;
+  charged = other211.charged;
+  tags = other211.tags;
+  __isset = other211.__isset;
   return *this;
 }
 void ExchangeColumns::printTo(std::ostream& out) const {
@@ -4053,14 +5293,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefillTokens.clear();
-            uint32_t _size160;
-            ::apache::thrift::protocol::TType _etype163;
-            xfer += iprot->readListBegin(_etype163, _size160);
-            this->prefillTokens.resize(_size160);
-            uint32_t _i164;
-            for (_i164 = 0; _i164 < _size160; ++_i164)
+            uint32_t _size212;
+            ::apache::thrift::protocol::TType _etype215;
+            xfer += iprot->readListBegin(_etype215, _size212);
+            this->prefillTokens.resize(_size212);
+            uint32_t _i216;
+            for (_i216 = 0; _i216 < _size212; ++_i216)
             {
-              xfer += iprot->readI32(this->prefillTokens[_i164]);
+              xfer += iprot->readI32(this->prefillTokens[_i216]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4073,14 +5313,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size165;
-            ::apache::thrift::protocol::TType _etype168;
-            xfer += iprot->readListBegin(_etype168, _size165);
-            this->running.resize(_size165);
-            uint32_t _i169;
-            for (_i169 = 0; _i169 < _size165; ++_i169)
+            uint32_t _size217;
+            ::apache::thrift::protocol::TType _etype220;
+            xfer += iprot->readListBegin(_etype220, _size217);
+            this->running.resize(_size217);
+            uint32_t _i221;
+            for (_i221 = 0; _i221 < _size217; ++_i221)
             {
-              xfer += iprot->readI32(this->running[_i169]);
+              xfer += iprot->readI32(this->running[_i221]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4093,14 +5333,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memoryTokens.clear();
-            uint32_t _size170;
-            ::apache::thrift::protocol::TType _etype173;
-            xfer += iprot->readListBegin(_etype173, _size170);
-            this->memoryTokens.resize(_size170);
-            uint32_t _i174;
-            for (_i174 = 0; _i174 < _size170; ++_i174)
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->memoryTokens.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
             {
-              xfer += iprot->readI32(this->memoryTokens[_i174]);
+              xfer += iprot->readI32(this->memoryTokens[_i226]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4133,10 +5373,10 @@
   xfer += oprot->writeFieldBegin("prefillTokens", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->prefillTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter175;
-    for (_iter175 = this->prefillTokens.begin(); _iter175 != this->prefillTokens.end(); ++_iter175)
+    std::vector<int32_t> ::const_iterator _iter227;
+    for (_iter227 = this->prefillTokens.begin(); _iter227 != this->prefillTokens.end(); ++_iter227)
     {
-      xfer += oprot->writeI32((*_iter175));
+      xfer += oprot->writeI32((*_iter227));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4145,10 +5385,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
-    std::vector<int32_t> ::const_iterator _iter176;
-    for (_iter176 = this->running.begin(); _iter176 != this->running.end(); ++_iter176)
+    std::vector<int32_t> ::const_iterator _iter228;
+    for (_iter228 = this->running.begin(); _iter228 != this->running.end(); ++_iter228)
     {
-      xfer += oprot->writeI32((*_iter176));
+      xfer += oprot->writeI32((*_iter228));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4157,10 +5397,10 @@
   xfer += oprot->writeFieldBegin("memoryTokens", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->memoryTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter177;
-    for (_iter177 = this->memoryTokens.begin(); _iter177 != this->memoryTokens.end(); ++_iter177)
+    std::vector<int32_t> ::const_iterator _iter229;
+    for (_iter229 = this->memoryTokens.begin(); _iter229 != this->memoryTokens.end(); ++_iter229)
     {
-      xfer += oprot->writeI32((*_iter177));
+      xfer += oprot->writeI32((*_iter229));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4180,19 +5420,19 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetUseColumns::TargetUseColumns(const TargetUseColumns& other178) {
-  targets = other178.targets;
-  prefillTokens = other178.prefillTokens;
-  running = other178.running;
-  memoryTokens = other178.memoryTokens;
-  __isset = other178.__isset;
+TargetUseColumns::TargetUseColumns(const TargetUseColumns& other230) {
+  targets = other230.targets;
+  prefillTokens = other230.prefillTokens;
+  running = other230.running;
+  memoryTokens = other230.memoryTokens;
+  __isset = other230.__isset;
 }
-TargetUseColumns& TargetUseColumns::operator=(const TargetUseColumns& other179) {
-  targets = other179.targets;
-  prefillTokens = other179.prefillTokens;
-  running = other179.running;
-  memoryTokens = other179.memoryTokens;
-  __isset = other179.__isset;
+TargetUseColumns& TargetUseColumns::operator=(const TargetUseColumns& other231) {
+  targets = other231.targets;
+  prefillTokens = other231.prefillTokens;
+  running = other231.running;
+  memoryTokens = other231.memoryTokens;
+  __isset = other231.__isset;
   return *this;
 }
 void TargetUseColumns::printTo(std::ostream& out) const {
@@ -4261,14 +5501,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->askedTokens.clear();
-            uint32_t _size180;
-            ::apache::thrift::protocol::TType _etype183;
-            xfer += iprot->readListBegin(_etype183, _size180);
-            this->askedTokens.resize(_size180);
-            uint32_t _i184;
-            for (_i184 = 0; _i184 < _size180; ++_i184)
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->askedTokens.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
             {
-              xfer += iprot->readI64(this->askedTokens[_i184]);
+              xfer += iprot->readI64(this->askedTokens[_i236]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4281,14 +5521,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->givenTokens.clear();
-            uint32_t _size185;
-            ::apache::thrift::protocol::TType _etype188;
-            xfer += iprot->readListBegin(_etype188, _size185);
-            this->givenTokens.resize(_size185);
-            uint32_t _i189;
-            for (_i189 = 0; _i189 < _size185; ++_i189)
+            uint32_t _size237;
+            ::apache::thrift::protocol::TType _etype240;
+            xfer += iprot->readListBegin(_etype240, _size237);
+            this->givenTokens.resize(_size237);
+            uint32_t _i241;
+            for (_i241 = 0; _i241 < _size237; ++_i241)
             {
-              xfer += iprot->readI64(this->givenTokens[_i189]);
+              xfer += iprot->readI64(this->givenTokens[_i241]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4321,10 +5561,10 @@
   xfer += oprot->writeFieldBegin("askedTokens", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->askedTokens.size()));
-    std::vector<int64_t> ::const_iterator _iter190;
-    for (_iter190 = this->askedTokens.begin(); _iter190 != this->askedTokens.end(); ++_iter190)
+    std::vector<int64_t> ::const_iterator _iter242;
+    for (_iter242 = this->askedTokens.begin(); _iter242 != this->askedTokens.end(); ++_iter242)
     {
-      xfer += oprot->writeI64((*_iter190));
+      xfer += oprot->writeI64((*_iter242));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4333,10 +5573,10 @@
   xfer += oprot->writeFieldBegin("givenTokens", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->givenTokens.size()));
-    std::vector<int64_t> ::const_iterator _iter191;
-    for (_iter191 = this->givenTokens.begin(); _iter191 != this->givenTokens.end(); ++_iter191)
+    std::vector<int64_t> ::const_iterator _iter243;
+    for (_iter243 = this->givenTokens.begin(); _iter243 != this->givenTokens.end(); ++_iter243)
     {
-      xfer += oprot->writeI64((*_iter191));
+      xfer += oprot->writeI64((*_iter243));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4355,17 +5595,17 @@
   swap(a.__isset, b.__isset);
 }
 
-AccountUseColumns::AccountUseColumns(const AccountUseColumns& other192) {
-  accounts = other192.accounts;
-  askedTokens = other192.askedTokens;
-  givenTokens = other192.givenTokens;
-  __isset = other192.__isset;
+AccountUseColumns::AccountUseColumns(const AccountUseColumns& other244) {
+  accounts = other244.accounts;
+  askedTokens = other244.askedTokens;
+  givenTokens = other244.givenTokens;
+  __isset = other244.__isset;
 }
-AccountUseColumns& AccountUseColumns::operator=(const AccountUseColumns& other193) {
-  accounts = other193.accounts;
-  askedTokens = other193.askedTokens;
-  givenTokens = other193.givenTokens;
-  __isset = other193.__isset;
+AccountUseColumns& AccountUseColumns::operator=(const AccountUseColumns& other245) {
+  accounts = other245.accounts;
+  askedTokens = other245.askedTokens;
+  givenTokens = other245.givenTokens;
+  __isset = other245.__isset;
   return *this;
 }
 void AccountUseColumns::printTo(std::ostream& out) const {
@@ -4470,15 +5710,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PartReadColumns::PartReadColumns(const PartReadColumns& other194) {
-  targets = other194.targets;
-  parts = other194.parts;
-  __isset = other194.__isset;
+PartReadColumns::PartReadColumns(const PartReadColumns& other246) {
+  targets = other246.targets;
+  parts = other246.parts;
+  __isset = other246.__isset;
 }
-PartReadColumns& PartReadColumns::operator=(const PartReadColumns& other195) {
-  targets = other195.targets;
-  parts = other195.parts;
-  __isset = other195.__isset;
+PartReadColumns& PartReadColumns::operator=(const PartReadColumns& other247) {
+  targets = other247.targets;
+  parts = other247.parts;
+  __isset = other247.__isset;
   return *this;
 }
 void PartReadColumns::printTo(std::ostream& out) const {
@@ -4700,27 +5940,27 @@
   swap(a.__isset, b.__isset);
 }
 
-RowColumns::RowColumns(const RowColumns& other196) {
-  demand = other196.demand;
-  held = other196.held;
-  grants = other196.grants;
-  tags = other196.tags;
-  exchange = other196.exchange;
-  targets = other196.targets;
-  accounts = other196.accounts;
-  reads = other196.reads;
-  __isset = other196.__isset;
-}
-RowColumns& RowColumns::operator=(const RowColumns& other197) {
-  demand = other197.demand;
-  held = other197.held;
-  grants = other197.grants;
-  tags = other197.tags;
-  exchange = other197.exchange;
-  targets = other197.targets;
-  accounts = other197.accounts;
-  reads = other197.reads;
-  __isset = other197.__isset;
+RowColumns::RowColumns(const RowColumns& other248) {
+  demand = other248.demand;
+  held = other248.held;
+  grants = other248.grants;
+  tags = other248.tags;
+  exchange = other248.exchange;
+  targets = other248.targets;
+  accounts = other248.accounts;
+  reads = other248.reads;
+  __isset = other248.__isset;
+}
+RowColumns& RowColumns::operator=(const RowColumns& other249) {
+  demand = other249.demand;
+  held = other249.held;
+  grants = other249.grants;
+  tags = other249.tags;
+  exchange = other249.exchange;
+  targets = other249.targets;
+  accounts = other249.accounts;
+  reads = other249.reads;
+  __isset = other249.__isset;
   return *this;
 }
 void RowColumns::printTo(std::ostream& out) const {
@@ -4794,6 +6034,11 @@
   this->columns = val;
 __isset.columns = true;
 }
+
+void Envelope::__set_placement(const Placement& val) {
+  this->placement = val;
+__isset.placement = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -4910,6 +6155,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->placement.read(iprot);
+          this->__isset.placement = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4980,6 +6233,11 @@
     xfer += this->columns.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.placement) {
+    xfer += oprot->writeFieldBegin("placement", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->placement.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4998,36 +6256,39 @@
   swap(a.load, b.load);
   swap(a.listNews, b.listNews);
   swap(a.columns, b.columns);
+  swap(a.placement, b.placement);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other198) {
-  sender = other198.sender;
-  incarnation = other198.incarnation;
-  heartbeat = other198.heartbeat;
-  demand = other198.demand;
-  grants = other198.grants;
-  exchange = other198.exchange;
-  configOffer = other198.configOffer;
-  configRequest = other198.configRequest;
-  load = other198.load;
-  listNews = other198.listNews;
-  columns = other198.columns;
-  __isset = other198.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other199) {
-  sender = other199.sender;
-  incarnation = other199.incarnation;
-  heartbeat = other199.heartbeat;
-  demand = other199.demand;
-  grants = other199.grants;
-  exchange = other199.exchange;
-  configOffer = other199.configOffer;
-  configRequest = other199.configRequest;
-  load = other199.load;
-  listNews = other199.listNews;
-  columns = other199.columns;
-  __isset = other199.__isset;
+Envelope::Envelope(const Envelope& other250) {
+  sender = other250.sender;
+  incarnation = other250.incarnation;
+  heartbeat = other250.heartbeat;
+  demand = other250.demand;
+  grants = other250.grants;
+  exchange = other250.exchange;
+  configOffer = other250.configOffer;
+  configRequest = other250.configRequest;
+  load = other250.load;
+  listNews = other250.listNews;
+  columns = other250.columns;
+  placement = other250.placement;
+  __isset = other250.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other251) {
+  sender = other251.sender;
+  incarnation = other251.incarnation;
+  heartbeat = other251.heartbeat;
+  demand = other251.demand;
+  grants = other251.grants;
+  exchange = other251.exchange;
+  configOffer = other251.configOffer;
+  configRequest = other251.configRequest;
+  load = other251.load;
+  listNews = other251.listNews;
+  columns = other251.columns;
+  placement = other251.placement;
+  __isset = other251.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -5044,6 +6305,7 @@
   out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
   out << ", " << "listNews="; (__isset.listNews ? (out << to_string(listNews)) : (out << "<null>"));
   out << ", " << "columns="; (__isset.columns ? (out << to_string(columns)) : (out << "<null>"));
+  out << ", " << "placement="; (__isset.placement ? (out << to_string(placement)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/peer_types.h
+++ b/src/wire/gen/peer_types.h
@@ -55,6 +55,16 @@
 
 class LoadReport;
 
+class PlaceAsk;
+
+class PlaceAnswer;
+
+class RunNote;
+
+class RunRow;
+
+class Placement;
+
 class ListNews;
 
 class DemandColumns;
@@ -855,11 +865,13 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _ConfigOffer__isset {
-  _ConfigOffer__isset() : version(false), judgedTo(false), changeId(false), text(false) {}
+  _ConfigOffer__isset() : version(false), judgedTo(false), changeId(false), text(false), piece(false), pieces(false) {}
   bool version :1;
   bool judgedTo :1;
   bool changeId :1;
   bool text :1;
+  bool piece :1;
+  bool pieces :1;
 } _ConfigOffer__isset;
 
 class ConfigOffer : public virtual ::apache::thrift::TBase {
@@ -871,7 +883,9 @@
               : version(0),
                 judgedTo(0),
                 changeId(),
-                text() {
+                text(),
+                piece(0),
+                pieces(0) {
   }
 
   virtual ~ConfigOffer() noexcept;
@@ -879,6 +893,8 @@
   int64_t judgedTo;
   std::string changeId;
   std::string text;
+  int32_t piece;
+  int32_t pieces;
 
   _ConfigOffer__isset __isset;
 
@@ -890,6 +906,10 @@
 
   void __set_text(const std::string& val);
 
+  void __set_piece(const int32_t val);
+
+  void __set_pieces(const int32_t val);
+
   bool operator == (const ConfigOffer & rhs) const
   {
     if (!(version == rhs.version))
@@ -900,6 +920,10 @@
       return false;
     if (!(text == rhs.text))
       return false;
+    if (!(piece == rhs.piece))
+      return false;
+    if (!(pieces == rhs.pieces))
+      return false;
     return true;
   }
   bool operator != (const ConfigOffer &rhs) const {
@@ -1133,7 +1157,7 @@
 std::ostream& operator<<(std::ostream& out, const PartRead& obj);
 
 typedef struct _LoadReport__isset {
-  _LoadReport__isset() : targets(false), accounts(false), configVersion(false), configAgeMicros(false), stampMicros(false), echoMicros(false), pressed(false), reads(false), partial(false) {}
+  _LoadReport__isset() : targets(false), accounts(false), configVersion(false), configAgeMicros(false), stampMicros(false), echoMicros(false), pressed(false), reads(false), partial(false), leaving(false) {}
   bool targets :1;
   bool accounts :1;
   bool configVersion :1;
@@ -1143,6 +1167,7 @@
   bool pressed :1;
   bool reads :1;
   bool partial :1;
+  bool leaving :1;
 } _LoadReport__isset;
 
 class LoadReport : public virtual ::apache::thrift::TBase {
@@ -1169,6 +1194,7 @@
   bool pressed;
   std::vector<PartRead>  reads;
   bool partial;
+  std::vector<int32_t>  leaving;
 
   _LoadReport__isset __isset;
 
@@ -1190,6 +1216,8 @@
 
   void __set_partial(const bool val);
 
+  void __set_leaving(const std::vector<int32_t> & val);
+
   bool operator == (const LoadReport & rhs) const
   {
     if (!(targets == rhs.targets))
@@ -1210,6 +1238,8 @@
       return false;
     if (!(partial == rhs.partial))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const LoadReport &rhs) const {
@@ -1228,6 +1258,418 @@
 
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj);
 
+typedef struct _PlaceAsk__isset {
+  _PlaceAsk__isset() : request(false), serviceId(false), account(false), aimMicros(false), waitedMicros(false), patienceMicros(false), goesOn(false), promptTokens(false), outputTokens(false), parts(false), partTokens(false), tried(false) {}
+  bool request :1;
+  bool serviceId :1;
+  bool account :1;
+  bool aimMicros :1;
+  bool waitedMicros :1;
+  bool patienceMicros :1;
+  bool goesOn :1;
+  bool promptTokens :1;
+  bool outputTokens :1;
+  bool parts :1;
+  bool partTokens :1;
+  bool tried :1;
+} _PlaceAsk__isset;
+
+class PlaceAsk : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceAsk(const PlaceAsk&);
+  PlaceAsk& operator=(const PlaceAsk&);
+  PlaceAsk() noexcept
+           : request(0),
+             serviceId(0),
+             account(0),
+             aimMicros(0),
+             waitedMicros(0),
+             patienceMicros(0),
+             goesOn(0),
+             promptTokens(0),
+             outputTokens(0),
+             parts() {
+  }
+
+  virtual ~PlaceAsk() noexcept;
+  int64_t request;
+  int32_t serviceId;
+  int32_t account;
+  int64_t aimMicros;
+  int64_t waitedMicros;
+  int64_t patienceMicros;
+  bool goesOn;
+  int32_t promptTokens;
+  int32_t outputTokens;
+  std::string parts;
+  std::vector<int32_t>  partTokens;
+  std::vector<int32_t>  tried;
+
+  _PlaceAsk__isset __isset;
+
+  void __set_request(const int64_t val);
+
+  void __set_serviceId(const int32_t val);
+
+  void __set_account(const int32_t val);
+
+  void __set_aimMicros(const int64_t val);
+
+  void __set_waitedMicros(const int64_t val);
+
+  void __set_patienceMicros(const int64_t val);
+
+  void __set_goesOn(const bool val);
+
+  void __set_promptTokens(const int32_t val);
+
+  void __set_outputTokens(const int32_t val);
+
+  void __set_parts(const std::string& val);
+
+  void __set_partTokens(const std::vector<int32_t> & val);
+
+  void __set_tried(const std::vector<int32_t> & val);
+
+  bool operator == (const PlaceAsk & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    if (!(serviceId == rhs.serviceId))
+      return false;
+    if (!(account == rhs.account))
+      return false;
+    if (!(aimMicros == rhs.aimMicros))
+      return false;
+    if (!(waitedMicros == rhs.waitedMicros))
+      return false;
+    if (!(patienceMicros == rhs.patienceMicros))
+      return false;
+    if (!(goesOn == rhs.goesOn))
+      return false;
+    if (!(promptTokens == rhs.promptTokens))
+      return false;
+    if (!(outputTokens == rhs.outputTokens))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    if (!(partTokens == rhs.partTokens))
+      return false;
+    if (!(tried == rhs.tried))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceAsk &a, PlaceAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj);
+
+typedef struct _PlaceAnswer__isset {
+  _PlaceAnswer__isset() : request(false), outcome(false), target(false), copyFrom(false), expectedWaitMicros(false), reason(false), retryAfterMicros(false), prefillTokens(false), memoryTokens(false) {}
+  bool request :1;
+  bool outcome :1;
+  bool target :1;
+  bool copyFrom :1;
+  bool expectedWaitMicros :1;
+  bool reason :1;
+  bool retryAfterMicros :1;
+  bool prefillTokens :1;
+  bool memoryTokens :1;
+} _PlaceAnswer__isset;
+
+class PlaceAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceAnswer(const PlaceAnswer&) noexcept;
+  PlaceAnswer& operator=(const PlaceAnswer&) noexcept;
+  PlaceAnswer() noexcept
+              : request(0),
+                outcome(0),
+                target(0),
+                copyFrom(0),
+                expectedWaitMicros(0),
+                reason(0),
+                retryAfterMicros(0),
+                prefillTokens(0),
+                memoryTokens(0) {
+  }
+
+  virtual ~PlaceAnswer() noexcept;
+  int64_t request;
+  int32_t outcome;
+  int32_t target;
+  int32_t copyFrom;
+  int64_t expectedWaitMicros;
+  int32_t reason;
+  int64_t retryAfterMicros;
+  int32_t prefillTokens;
+  int32_t memoryTokens;
+
+  _PlaceAnswer__isset __isset;
+
+  void __set_request(const int64_t val);
+
+  void __set_outcome(const int32_t val);
+
+  void __set_target(const int32_t val);
+
+  void __set_copyFrom(const int32_t val);
+
+  void __set_expectedWaitMicros(const int64_t val);
+
+  void __set_reason(const int32_t val);
+
+  void __set_retryAfterMicros(const int64_t val);
+
+  void __set_prefillTokens(const int32_t val);
+
+  void __set_memoryTokens(const int32_t val);
+
+  bool operator == (const PlaceAnswer & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(copyFrom == rhs.copyFrom))
+      return false;
+    if (!(expectedWaitMicros == rhs.expectedWaitMicros))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
+    if (!(retryAfterMicros == rhs.retryAfterMicros))
+      return false;
+    if (!(prefillTokens == rhs.prefillTokens))
+      return false;
+    if (!(memoryTokens == rhs.memoryTokens))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceAnswer &a, PlaceAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceAnswer& obj);
+
+typedef struct _RunNote__isset {
+  _RunNote__isset() : request(false), event(false), restMicros(false) {}
+  bool request :1;
+  bool event :1;
+  bool restMicros :1;
+} _RunNote__isset;
+
+class RunNote : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunNote(const RunNote&) noexcept;
+  RunNote& operator=(const RunNote&) noexcept;
+  RunNote() noexcept
+          : request(0),
+            event(0),
+            restMicros(0) {
+  }
+
+  virtual ~RunNote() noexcept;
+  int64_t request;
+  int32_t event;
+  int64_t restMicros;
+
+  _RunNote__isset __isset;
+
+  void __set_request(const int64_t val);
+
+  void __set_event(const int32_t val);
+
+  void __set_restMicros(const int64_t val);
+
+  bool operator == (const RunNote & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    if (!(event == rhs.event))
+      return false;
+    if (!(restMicros == rhs.restMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const RunNote &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunNote & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunNote &a, RunNote &b);
+
+std::ostream& operator<<(std::ostream& out, const RunNote& obj);
+
+typedef struct _RunRow__isset {
+  _RunRow__isset() : request(false), target(false), prefillTokens(false), memoryTokens(false), begun(false) {}
+  bool request :1;
+  bool target :1;
+  bool prefillTokens :1;
+  bool memoryTokens :1;
+  bool begun :1;
+} _RunRow__isset;
+
+class RunRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunRow(const RunRow&) noexcept;
+  RunRow& operator=(const RunRow&) noexcept;
+  RunRow() noexcept
+         : request(0),
+           target(0),
+           prefillTokens(0),
+           memoryTokens(0),
+           begun(0) {
+  }
+
+  virtual ~RunRow() noexcept;
+  int64_t request;
+  int32_t target;
+  int32_t prefillTokens;
+  int32_t memoryTokens;
+  bool begun;
+
+  _RunRow__isset __isset;
+
+  void __set_request(const int64_t val);
+
+  void __set_target(const int32_t val);
+
+  void __set_prefillTokens(const int32_t val);
+
+  void __set_memoryTokens(const int32_t val);
+
+  void __set_begun(const bool val);
+
+  bool operator == (const RunRow & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(prefillTokens == rhs.prefillTokens))
+      return false;
+    if (!(memoryTokens == rhs.memoryTokens))
+      return false;
+    if (!(begun == rhs.begun))
+      return false;
+    return true;
+  }
+  bool operator != (const RunRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunRow &a, RunRow &b);
+
+std::ostream& operator<<(std::ostream& out, const RunRow& obj);
+
+typedef struct _Placement__isset {
+  _Placement__isset() : asks(false), answers(false), notes(false), whole(false), runs(false) {}
+  bool asks :1;
+  bool answers :1;
+  bool notes :1;
+  bool whole :1;
+  bool runs :1;
+} _Placement__isset;
+
+class Placement : public virtual ::apache::thrift::TBase {
+ public:
+
+  Placement(const Placement&);
+  Placement& operator=(const Placement&);
+  Placement() noexcept
+            : whole(0) {
+  }
+
+  virtual ~Placement() noexcept;
+  std::vector<PlaceAsk>  asks;
+  std::vector<PlaceAnswer>  answers;
+  std::vector<RunNote>  notes;
+  bool whole;
+  std::vector<RunRow>  runs;
+
+  _Placement__isset __isset;
+
+  void __set_asks(const std::vector<PlaceAsk> & val);
+
+  void __set_answers(const std::vector<PlaceAnswer> & val);
+
+  void __set_notes(const std::vector<RunNote> & val);
+
+  void __set_whole(const bool val);
+
+  void __set_runs(const std::vector<RunRow> & val);
+
+  bool operator == (const Placement & rhs) const
+  {
+    if (!(asks == rhs.asks))
+      return false;
+    if (!(answers == rhs.answers))
+      return false;
+    if (!(notes == rhs.notes))
+      return false;
+    if (!(whole == rhs.whole))
+      return false;
+    if (!(runs == rhs.runs))
+      return false;
+    return true;
+  }
+  bool operator != (const Placement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Placement & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Placement &a, Placement &b);
+
+std::ostream& operator<<(std::ostream& out, const Placement& obj);
+
 typedef struct _ListNews__isset {
   _ListNews__isset() : sharedList(false), fromOffset(false), toOffset(false), reachable(false), batch(false) {}
   bool sharedList :1;
@@ -1836,7 +2278,7 @@
 std::ostream& operator<<(std::ostream& out, const RowColumns& obj);
 
 typedef struct _Envelope__isset {
-  _Envelope__isset() : sender(false), incarnation(false), heartbeat(false), demand(false), grants(false), exchange(false), configOffer(false), configRequest(false), load(false), listNews(false), columns(false) {}
+  _Envelope__isset() : sender(false), incarnation(false), heartbeat(false), demand(false), grants(false), exchange(false), configOffer(false), configRequest(false), load(false), listNews(false), columns(false), placement(false) {}
   bool sender :1;
   bool incarnation :1;
   bool heartbeat :1;
@@ -1848,6 +2290,7 @@
   bool load :1;
   bool listNews :1;
   bool columns :1;
+  bool placement :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
@@ -1872,6 +2315,7 @@
   LoadReport load;
   ListNews listNews;
   RowColumns columns;
+  Placement placement;
 
   _Envelope__isset __isset;
 
@@ -1897,6 +2341,8 @@
 
   void __set_columns(const RowColumns& val);
 
+  void __set_placement(const Placement& val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -1939,6 +2385,10 @@
       return false;
     else if (__isset.columns && !(columns == rhs.columns))
       return false;
+    if (__isset.placement != rhs.__isset.placement)
+      return false;
+    else if (__isset.placement && !(placement == rhs.placement))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -91,11 +91,14 @@
   5: list<i32> leavingTargets
 }
 
+// A text too long for one datagram comes as several pieces, numbered from 0.
 struct ConfigOffer {
   1: i64 version
   2: i64 judgedTo
   3: string changeId
   4: string text
+  5: i32 piece
+  6: i32 pieces
 }
 
 struct ConfigRequest {
@@ -132,6 +135,72 @@
   8: list<PartRead> reads
   // Rows change those of earlier reports; otherwise they replace them all.
   9: bool partial
+  // Targets that said of themselves that they leave.
+  10: list<i32> leaving
+}
+
+// Asks a lead of the zone where a request may run. Numbers of requests are the
+// asking router's own.
+struct PlaceAsk {
+  1: i64 request
+  2: i32 serviceId
+  3: i32 account
+  4: i64 aimMicros
+  // Since the request arrived.
+  5: i64 waitedMicros
+  // Until its caller gives up.
+  6: i64 patienceMicros
+  7: bool goesOn
+  8: i32 promptTokens
+  9: i32 outputTokens
+  // Parts of the prompt in order: eight bytes each, the lowest first.
+  10: binary parts
+  11: list<i32> partTokens
+  // Targets that it was sent to before, and may not go to again.
+  12: list<i32> tried
+}
+
+struct PlaceAnswer {
+  1: i64 request
+  // 0: it waits, 1: it starts, 2: it is turned away.
+  2: i32 outcome
+  3: i32 target
+  // Target to copy the shared beginning from; 0: none.
+  4: i32 copyFrom
+  5: i64 expectedWaitMicros
+  6: i32 reason
+  7: i64 retryAfterMicros
+  // What the run adds to its target's load.
+  8: i32 prefillTokens
+  9: i32 memoryTokens
+}
+
+// What has become of a request that a lead has placed or still holds.
+struct RunNote {
+  1: i64 request
+  // 0: its first event came; otherwise 1 and the number of the way it ended.
+  2: i32 event
+  // How long its target wants nothing from then on.
+  3: i64 restMicros
+}
+
+// A run as its router tells a lead that may not know it.
+struct RunRow {
+  1: i64 request
+  2: i32 target
+  3: i32 prefillTokens
+  4: i32 memoryTokens
+  5: bool begun
+}
+
+// Between the routers of a zone and those of them that place for the others.
+struct Placement {
+  1: list<PlaceAsk> asks
+  2: list<PlaceAnswer> answers
+  3: list<RunNote> notes
+  // Whether runs holds all that the sender has at the receiver.
+  4: bool whole
+  5: list<RunRow> runs
 }
 
 // What a read of a shared list at its source gave: the records from one offset
@@ -219,4 +288,5 @@
   9: optional LoadReport load
   10: optional ListNews listNews
   11: optional RowColumns columns
+  12: optional Placement placement
 }
