Judge shares by what a full pool gives; log each request that is sent

Change: while requests within their share find no room, the sure rate is no more than 1.25 times what was given in the last window. A line 'sent' says on what a placement was decided.

--- a/src/process/forwarding/account_shares.cpp
+++ b/src/process/forwarding/account_shares.cpp
@@ -4,6 +4,26 @@
 #include <limits>
 
 namespace burdockring {
+namespace {
+
+struct StandingRow
+{
+  ShareStanding standing_;
+  std::string_view name_;
+};
+
+constexpr std::array kStandingTable{
+  StandingRow{ ShareStanding::kOwed, "owed" },
+  StandingRow{ ShareStanding::kFair, "fair" },
+  StandingRow{ ShareStanding::kBeyond, "beyond" },
+};
+
+} // namespace
+
+auto ShareStandingName(ShareStanding aStanding) -> std::string_view
+{
+  return kStandingTable.at(static_cast<std::size_t>(aStanding)).name_;
+}
 
 auto AccountShares::Advance(Instant aNow) -> void
 {
@@ -81,10 +101,14 @@
     asked.push_back(static_cast<double>(entry.second));
   }
   std::sort(asked.begin(), asked.end());
-  const double sure =
+  const double now = static_cast<double>(given);
+  double sure =
     tokensPerSecond_ * std::chrono::duration<double>(kWindow).count();
+  if (aNow < saturatedUntil_) {
+    sure = std::min(sure, now * kGrowth);
+  }
   owedLevel_ = FindLevel(asked, sure);
-  fairLevel_ = FindLevel(asked, std::max(sure, static_cast<double>(given)));
+  fairLevel_ = FindLevel(asked, std::max(sure, now));
 }
 
 auto AccountShares::Total(AccountId aAccount) const -> Amounts
@@ -106,6 +130,12 @@
   lastLevel_ = {};
 }
 
+auto AccountShares::NoteSaturated(Instant aNow) -> void
+{
+  // What was given is known for one window.
+  saturatedUntil_ = aNow + kWindow;
+}
+
 auto AccountShares::Ask(AccountId aAccount, std::int64_t aTokens, Instant aNow)
   -> void
 {
--- a/src/process/forwarding/account_shares.h
+++ b/src/process/forwarding/account_shares.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <string_view>
 #include <vector>
 
 namespace burdockring {
@@ -23,15 +24,21 @@
   kBeyond,
 };
 
+/// The printed word, as "beyond".
+auto ShareStandingName(ShareStanding aStanding) -> std::string_view;
+
 /// Which client accounts are within their max-min share of the pool.
 ///
 /// Counts what each account asked for and was given in the last kWindow, in
 /// tokens, here and as the peers last told. The share is the level at which
 /// min(asked, level), summed over all accounts, fills the pool: what it is sure
-/// to give, and what it gives now, which is more where prompts are kept.
+/// to give, and what it gives now, which is more where prompts are kept. While
+/// requests within their share find no room, the pool is sure to give no more
+/// than it does, whatever the configuration says of it.
 ///
 /// Load pattern: one account sends many times its usual while the others stay
-/// small; they are served as if it weren't there.
+/// small; they are served as if it weren't there. The same while a part of the
+/// targets is lost or slow.
 class AccountShares
 {
 public:
@@ -43,6 +50,9 @@
   static constexpr Duration kBucketSpan = kWindow / kBuckets;
   /// A peer that was silent for so long is left out.
   static constexpr Duration kPeerLife = 1500ms;
+  /// What a full pool may come to give within a window, as a multiple of what
+  /// it gave in the last: room for a pool that is full in places only.
+  static constexpr double kGrowth = 1.25;
   /// How often the level is worked out anew.
   static constexpr Duration kLevelInterval = 50ms;
 
@@ -65,6 +75,8 @@
   };
 
   double tokensPerSecond_ = 0;
+  /// Until when the pool counts as full.
+  Instant saturatedUntil_{};
   std::map<AccountId, Window> own_;
   std::map<RouterId, PeerUse> peers_;
   std::map<AccountId, Amounts> peerSums_;
@@ -84,6 +96,8 @@
 public:
   /// Zero: the pool's rate isn't known, and every account is within its share.
   auto SetTokensPerSecond(double aTokens) -> void;
+  /// A request within its share found no room, here or at a peer.
+  auto NoteSaturated(Instant aNow) -> void;
   auto Ask(AccountId aAccount, std::int64_t aTokens, Instant aNow) -> void;
   /// Less than none takes back what did not run after all.
   auto Give(AccountId aAccount, std::int64_t aTokens, Instant aNow) -> void;
--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -72,27 +72,21 @@
 }
 
 auto Dispatcher::LimitsFor(const WorkItem& aItem,
-                           const RoutedService& aService,
-                           Instant aNow,
-                           bool* aOverShare) -> PlaceLimits
+                           ShareStanding aStanding,
+                           Instant aNow) -> PlaceLimits
 {
-  *aOverShare = false;
-  if (!aService.isEngine_) {
-    return {};
-  }
   PlaceLimits limits;
   limits.maxBacklog_ = kMaxBacklog;
   if (!aItem.goesOn_) {
     limits.maxWait_ = OnTimeWait(aItem, aNow);
   }
-  switch (shares_.Standing(aItem.account_, Tokens(aItem), aNow)) {
+  switch (aStanding) {
     case ShareStanding::kOwed:
       break;
     case ShareStanding::kFair:
       limits.maxBacklog_ = std::min<Duration>(limits.maxBacklog_, kFairBacklog);
       break;
     case ShareStanding::kBeyond:
-      *aOverShare = true;
       limits.maxBacklog_ =
         IsPressed(aNow) ? kPressedBacklog : kOverShareBacklog;
       limits.maxSlotUse_ = IsPressed(aNow) ? kPressedSlots : kLesserSlots;
@@ -111,31 +105,39 @@
     return false;
   }
   const auto& targets = TargetsOf(aItem.service_);
-  bool overShare = false;
-  const auto limits = LimitsFor(aItem, *service, aNow, &overShare);
+  const auto standing =
+    service->isEngine_
+      ? shares_.Standing(aItem.account_, Tokens(aItem), aNow)
+      : ShareStanding::kOwed;
+  const auto limits =
+    service->isEngine_ ? LimitsFor(aItem, standing, aNow) : PlaceLimits{};
   const auto candidate =
     placement_.Choose(aItem, *service, targets, limits, aNow);
   if (!candidate) {
-    aRefusal->expectedWait_ = RestOfAll(aItem.service_, aNow);
-    aRefusal->reason_ = aRefusal->expectedWait_ > 0us
+    aRefusal->roomIn_ = RestOfAll(aItem.service_, aNow);
+    aRefusal->expectedWait_ = aRefusal->roomIn_;
+    aRefusal->reason_ = aRefusal->roomIn_ > 0us
                           ? RejectReason::kResting
                           : RejectReason::kNoTarget;
     return false;
   }
   if (candidate->fits_) {
-    Start(aItem, *candidate, *service, aNow);
+    Start(aItem, *candidate, *service, standing, aNow);
     return true;
   }
+  const bool isBeyond = standing == ShareStanding::kBeyond;
   aRefusal->reason_ = !candidate->hasSlot_ ? RejectReason::kNoRoom
-                      : overShare          ? RejectReason::kOverShare
+                      : isBeyond           ? RejectReason::kOverShare
                                            : RejectReason::kLate;
   aRefusal->expectedWait_ = candidate->wait_;
+  aRefusal->roomIn_ = candidate->roomIn_;
   return false;
 }
 
 auto Dispatcher::Start(const WorkItem& aItem,
                        const Candidate& aCandidate,
                        const RoutedService& aService,
+                       ShareStanding aStanding,
                        Instant aNow) -> void
 {
   auto& load = loads_.At(aCandidate.target_);
@@ -165,7 +167,7 @@
   loadChanged_ = true;
   verdicts_.emplace_back(StartWork{ aItem.id_, aCandidate.target_,
                                     aCandidate.wait_, aCandidate.copyFrom_,
-                                    aCandidate.adds_ });
+                                    aCandidate.adds_, aStanding });
 }
 
 auto Dispatcher::RestOfAll(ServiceId aService, Instant aNow) -> Duration
@@ -194,6 +196,7 @@
                                            aNow) == ShareStanding::kBeyond;
   if (!standsBack) {
     ownPressedUntil_ = aNow + kPressedTime;
+    shares_.NoteSaturated(aNow);
   }
   aRefusal.retryAfter_ = ComeBackTime(aItem, aNow);
   if (aRefusal.reason_ == RejectReason::kResting) {
@@ -219,6 +222,14 @@
          (aItem.goesOn_ ? kGoesOnWait : Part(aItem.aim_, kWaitPart));
 }
 
+auto Dispatcher::IsHopeless(const RejectWork& aRefusal,
+                            Instant aGiveUpAt,
+                            Instant aNow) -> bool
+{
+  return aRefusal.reason_ == RejectReason::kResting &&
+         aNow + aRefusal.roomIn_ > aGiveUpAt;
+}
+
 auto Dispatcher::Tokens(const WorkItem& aItem) -> std::int64_t
 {
   return aItem.promptTokens_ + kOutputFactor * aItem.outputTokens_;
@@ -251,9 +262,7 @@
     return;
   }
   const auto giveUpAt = GiveUpTime(aItem);
-  const bool isHopeless = refusal.reason_ == RejectReason::kResting &&
-                          aNow + refusal.expectedWait_ > giveUpAt;
-  if (giveUpAt <= aNow || isHopeless) {
+  if (giveUpAt <= aNow || IsHopeless(refusal, giveUpAt, aNow)) {
     Reject(aItem, refusal, aNow);
     return;
   }
@@ -365,7 +374,7 @@
       continue;
     }
     ++failedLooks;
-    if (isLast) {
+    if (isLast || IsHopeless(refusal, waiting.giveUpAt_, aNow)) {
       Reject(waiting.item_, refusal, aNow);
       continue;
     }
@@ -406,6 +415,7 @@
   }
   if (aReport.pressed) {
     peersPressedUntil_ = aNow + kPressedTime;
+    shares_.NoteSaturated(aNow);
   }
 }
 
--- a/src/process/forwarding/dispatcher.h
+++ b/src/process/forwarding/dispatcher.h
@@ -40,6 +40,8 @@
   std::optional<TargetId> copyFrom_;
   /// What the run adds to the target's load.
   TargetAmounts adds_;
+  /// How its account stood against its share.
+  ShareStanding standing_ = ShareStanding::kOwed;
 };
 
 /// Turn the request away.
@@ -49,6 +51,8 @@
   RejectReason reason_ = RejectReason::kNoRoom;
   Duration retryAfter_{};
   Duration expectedWait_{};
+  /// How long it takes at least until there is room.
+  Duration roomIn_{};
 };
 
 using DispatchVerdict = std::variant<StartWork, RejectWork>;
@@ -75,7 +79,8 @@
 /// A request starts at once where its first event is expected on time. One
 /// whose account is beyond its share starts only where the engine would be on
 /// time by a wide margin. One that can't start waits a small part of its aim
-/// for room and is then turned away, with a time to come back.
+/// for room, or is turned away at once where room can't come by then, with a
+/// time to come back.
 ///
 /// Load pattern: arrivals of up to three times what the engines can do, in
 /// waves and clumps, with one account far above its usual.
@@ -169,17 +174,16 @@
   /// Longest wait for a first event on time; nothing where none can be.
   [[nodiscard]] static auto OnTimeWait(const WorkItem& aItem, Instant aNow)
     -> std::optional<Duration>;
-  /// What a target must offer for the request; whether the account's share
-  /// has narrowed it is told too.
+  /// What a target must offer for the request, with its account standing so.
   auto LimitsFor(const WorkItem& aItem,
-                 const RoutedService& aService,
-                 Instant aNow,
-                 bool* aOverShare) -> PlaceLimits;
+                 ShareStanding aStanding,
+                 Instant aNow) -> PlaceLimits;
   auto TryStart(const WorkItem& aItem, Instant aNow, RejectWork* aRefusal)
     -> bool;
   auto Start(const WorkItem& aItem,
              const Candidate& aCandidate,
              const RoutedService& aService,
+             ShareStanding aStanding,
              Instant aNow) -> void;
   /// Whether accounts within their share were turned away a moment ago.
   [[nodiscard]] auto IsPressed(Instant aNow) const -> bool;
@@ -187,6 +191,10 @@
   /// How long all targets of a service want nothing; zero: one may be used.
   auto RestOfAll(ServiceId aService, Instant aNow) -> Duration;
   auto ComeBackTime(const WorkItem& aItem, Instant aNow) -> Duration;
+  /// Whether room comes too late for what waits until aGiveUpAt.
+  [[nodiscard]] static auto IsHopeless(const RejectWork& aRefusal,
+                                       Instant aGiveUpAt,
+                                       Instant aNow) -> bool;
   [[nodiscard]] static auto Tokens(const WorkItem& aItem) -> std::int64_t;
 
 public:
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -295,6 +295,38 @@
   placements_.Submit(std::move(item), aNow);
 }
 
+auto ForwardingNode::NameOfLead(RequestId aRequest) const -> std::string_view
+{
+  const auto lead = placements_.LeadOf(aRequest);
+  if (!lead) {
+    return peers_.Peers().Self().name_;
+  }
+  const auto peer = peers_.Peers().Peers().find(*lead);
+  return peer == peers_.Peers().Peers().end()
+           ? std::string_view("unlisted")
+           : std::string_view(peer->second.address_.name_);
+}
+
+auto ForwardingNode::LogSent(const Request& aRequest,
+                             const StartWork& aVerdict,
+                             const ListedTarget& aTarget,
+                             Instant aNow) -> void
+{
+  log_->Write(
+    "sent",
+    { { "request", aRequest.arrival_.facts_.attemptId_ },
+      { "attempt", std::int64_t{ aRequest.attempt_ } },
+      { "target", aTarget.instance_ },
+      { "account", aRequest.account_ },
+      { "standing", ShareStandingName(aVerdict.standing_) },
+      { "placed_by", NameOfLead(aVerdict.request_) },
+      { "reads", std::int64_t{ aVerdict.adds_.prefillTokens_ } },
+      { "copies", std::int64_t{ aVerdict.copyFrom_ ? 1 : 0 } },
+      { "expected_ms", ToMillis(aVerdict.expectedWait_) },
+      { "waited_ms", ToMillis(aNow - aRequest.arrival_.received_) },
+      { "version", aRequest.table_->Version() } });
+}
+
 auto ForwardingNode::Apply(const StartWork& aVerdict, Instant aNow) -> void
 {
   auto* request = Find(aVerdict.request_);
@@ -324,6 +356,7 @@
     request->arrival_.facts_.patience_.value_or(request->route_->timeout_) -
     (aNow - request->arrival_.received_);
   send.lastEvent_ = request->lastEvent_;
+  LogSent(*request, aVerdict, *target, aNow);
   const auto* source =
     aVerdict.copyFrom_ ? directory_.Find(*aVerdict.copyFrom_) : nullptr;
   if (source != nullptr) {
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -170,6 +170,12 @@
   auto TryAgain(Request* aRequest, Instant aNow) -> void;
   auto TakeVerdicts(Instant aNow) -> void;
   auto Apply(const StartWork& aVerdict, Instant aNow) -> void;
+  auto LogSent(const Request& aRequest,
+               const StartWork& aVerdict,
+               const ListedTarget& aTarget,
+               Instant aNow) -> void;
+  /// The router that decides where the request runs.
+  [[nodiscard]] auto NameOfLead(RequestId aRequest) const -> std::string_view;
   /// Whether this router itself heard that the target takes nothing now.
   [[nodiscard]] auto TakesNothing(TargetId aTarget, Instant aNow) const -> bool;
   /// Has a request placed anew whose target takes nothing.
--- a/src/process/forwarding/placement_wire.cpp
+++ b/src/process/forwarding/placement_wire.cpp
@@ -12,6 +12,8 @@
 constexpr int kFirstEndEvent = 1;
 /// Longest span that a message may name: no caller waits so long.
 constexpr Duration kLongestSpan = 1h;
+constexpr std::int32_t kLastStanding =
+  static_cast<std::int32_t>(ShareStanding::kBeyond);
 /// Most tokens that a message may name for a request.
 constexpr std::int32_t kMostTokens = 10'000'000;
 
@@ -112,6 +114,7 @@
     answer.expectedWaitMicros = start->expectedWait_.count();
     answer.prefillTokens = start->adds_.prefillTokens_;
     answer.memoryTokens = start->adds_.memoryTokens_;
+    answer.standing = static_cast<std::int32_t>(start->standing_);
     return answer;
   }
   const auto& reject = std::get<RejectWork>(aVerdict);
@@ -135,6 +138,8 @@
     start.expectedWait_ = SpanOf(aAnswer.expectedWaitMicros);
     start.adds_ = { 1, TokensOf(aAnswer.prefillTokens),
                     TokensOf(aAnswer.memoryTokens) };
+    start.standing_ = static_cast<ShareStanding>(
+      std::clamp(aAnswer.standing, 0, kLastStanding));
     return start;
   }
   if (aAnswer.outcome != static_cast<std::int32_t>(PlaceOutcome::kRejected) ||
--- a/src/wire/gen/peer_types.cpp
+++ b/src/wire/gen/peer_types.cpp
@@ -3493,6 +3493,10 @@
 void PlaceAnswer::__set_memoryTokens(const int32_t val) {
   this->memoryTokens = val;
 }
+
+void PlaceAnswer::__set_standing(const int32_t val) {
+  this->standing = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceAnswer& obj)
 {
   obj.printTo(out);
@@ -3593,6 +3597,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->standing);
+          this->__isset.standing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3646,6 +3658,10 @@
   xfer += oprot->writeI32(this->memoryTokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("standing", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->standing);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3662,6 +3678,7 @@
   swap(a.retryAfterMicros, b.retryAfterMicros);
   swap(a.prefillTokens, b.prefillTokens);
   swap(a.memoryTokens, b.memoryTokens);
+  swap(a.standing, b.standing);
   swap(a.__isset, b.__isset);
 }
 
@@ -3675,6 +3692,7 @@
   retryAfterMicros = other120.retryAfterMicros;
   prefillTokens = other120.prefillTokens;
   memoryTokens = other120.memoryTokens;
+  standing = other120.standing;
   __isset = other120.__isset;
 }
 PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other121) noexcept {
@@ -3687,6 +3705,7 @@
   retryAfterMicros = other121.retryAfterMicros;
   prefillTokens = other121.prefillTokens;
   memoryTokens = other121.memoryTokens;
+  standing = other121.standing;
   __isset = other121.__isset;
   return *this;
 }
@@ -3702,6 +3721,7 @@
   out << ", " << "retryAfterMicros=" << to_string(retryAfterMicros);
   out << ", " << "prefillTokens=" << to_string(prefillTokens);
   out << ", " << "memoryTokens=" << to_string(memoryTokens);
+  out << ", " << "standing=" << to_string(standing);
   out << ")";
 }
 
--- a/src/wire/gen/peer_types.h
+++ b/src/wire/gen/peer_types.h
@@ -1377,7 +1377,7 @@
 std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj);
 
 typedef struct _PlaceAnswer__isset {
-  _PlaceAnswer__isset() : request(false), outcome(false), target(false), copyFrom(false), expectedWaitMicros(false), reason(false), retryAfterMicros(false), prefillTokens(false), memoryTokens(false) {}
+  _PlaceAnswer__isset() : request(false), outcome(false), target(false), copyFrom(false), expectedWaitMicros(false), reason(false), retryAfterMicros(false), prefillTokens(false), memoryTokens(false), standing(false) {}
   bool request :1;
   bool outcome :1;
   bool target :1;
@@ -1387,6 +1387,7 @@
   bool retryAfterMicros :1;
   bool prefillTokens :1;
   bool memoryTokens :1;
+  bool standing :1;
 } _PlaceAnswer__isset;
 
 class PlaceAnswer : public virtual ::apache::thrift::TBase {
@@ -1403,7 +1404,8 @@
                 reason(0),
                 retryAfterMicros(0),
                 prefillTokens(0),
-                memoryTokens(0) {
+                memoryTokens(0),
+                standing(0) {
   }
 
   virtual ~PlaceAnswer() noexcept;
@@ -1416,6 +1418,7 @@
   int64_t retryAfterMicros;
   int32_t prefillTokens;
   int32_t memoryTokens;
+  int32_t standing;
 
   _PlaceAnswer__isset __isset;
 
@@ -1437,6 +1440,8 @@
 
   void __set_memoryTokens(const int32_t val);
 
+  void __set_standing(const int32_t val);
+
   bool operator == (const PlaceAnswer & rhs) const
   {
     if (!(request == rhs.request))
@@ -1457,6 +1462,8 @@
       return false;
     if (!(memoryTokens == rhs.memoryTokens))
       return false;
+    if (!(standing == rhs.standing))
+      return false;
     return true;
   }
   bool operator != (const PlaceAnswer &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -173,6 +173,8 @@
   // What the run adds to its target's load.
   8: i32 prefillTokens
   9: i32 memoryTokens
+  // How its account stood against its share.
+  10: i32 standing
 }
 
 // What has become of a request that a lead has placed or still holds.
--- a/tests/platform/header_adapter_test.cpp
+++ b/tests/platform/header_adapter_test.cpp
@@ -109,5 +109,21 @@
   EXPECT_TRUE(adapter.RefusalFields(refusal).empty());
 }
 
+TEST(HeaderAdapterNotice, LeavingAndRestAreRead)
+{
+  const HeaderAdapter adapter;
+  const auto leaving = adapter.ReadAnswer(200, { { "Server-Leaving", "1" } });
+  EXPECT_TRUE(leaving.notice_.leaves_);
+  EXPECT_EQ(leaving.notice_.rest_, 0us);
+  const auto rests = adapter.ReadAnswer(
+    503, { { "X-Not-Executed", "1" }, { "Retry-After", "1.5" } });
+  EXPECT_FALSE(rests.notice_.leaves_);
+  EXPECT_EQ(rests.notice_.rest_, 1500ms);
+  EXPECT_EQ(adapter.ReadAnswer(503, { { "Retry-After", "soon" } }).notice_.rest_,
+            0us);
+  EXPECT_EQ(adapter.ReadAnswer(200, { { "Retry-After", "2" } }).notice_.rest_,
+            0us);
+}
+
 } // namespace
 } // namespace burdockring
--- a/tests/platform/record_codec_test.cpp
+++ b/tests/platform/record_codec_test.cpp
@@ -114,5 +114,42 @@
   (void)DecodeRouter("k", aBytes);
 }
 
+TEST(RecordCodecSplit, PiecesHoldAllRecordsInOrder)
+{
+  std::string bytes(16, '\0');
+  for (int i = 0; i < 50; ++i) {
+    bytes += EncodeRecord({ "key-" + std::to_string(i), std::string(100, 'v') });
+  }
+  const auto batch = DecodeBatch(bytes);
+  ASSERT_TRUE(batch.ok());
+  const auto pieces = SplitBatch(*batch, 7, 1000);
+  EXPECT_GE(pieces.size(), 5U);
+  std::int64_t next = 7;
+  int records = 0;
+  for (const auto& piece : pieces) {
+    EXPECT_EQ(piece.from_, next);
+    next = piece.to_;
+    EXPECT_LE(piece.bytes_.size(), 1000U);
+    const auto decoded = DecodeBatch(piece.bytes_);
+    ASSERT_TRUE(decoded.ok());
+    EXPECT_EQ(decoded->count_, piece.to_ - piece.from_);
+    for (const auto& record : decoded->records_) {
+      EXPECT_EQ(record.key_, "key-" + std::to_string(records++));
+    }
+  }
+  EXPECT_EQ(next, 57);
+  EXPECT_EQ(records, 50);
+}
+
+TEST(RecordCodecSplit, ReadWithoutRecordsIsOnePiece)
+{
+  const auto batch = DecodeBatch(std::string(16, '\0'));
+  ASSERT_TRUE(batch.ok());
+  const auto pieces = SplitBatch(*batch, 3, 1000);
+  ASSERT_EQ(pieces.size(), 1U);
+  EXPECT_EQ(pieces[0].from_, 3);
+  EXPECT_EQ(pieces[0].to_, 3);
+}
+
 } // namespace
 } // namespace burdockring
--- a/tests/process/forwarding/dispatcher_test.cpp
+++ b/tests/process/forwarding/dispatcher_test.cpp
@@ -214,6 +214,70 @@
   EXPECT_GE(served["b"], 39);
 }
 
+// Load pattern: all accounts flood a pool that gives far less than the
+// configuration says.
+TEST_F(DispatcherTest, SharesHoldWhereThePoolGivesLessThanItShould)
+{
+  SetUpPool(2, 64, true, 10'000'000);
+  std::map<std::string, std::int64_t> begun;
+  std::map<RequestId, std::pair<std::string, int>> owners;
+  std::multimap<Instant, RequestId> firstEvents;
+  Instant now = 1s;
+  const auto submit = [&](const std::string& aAccount, int aTokens) {
+    auto item = MakeItem(aAccount, 0, aTokens, 0, now);
+    item.outputTokens_ = 0;
+    owners[item.id_] = { aAccount, aTokens };
+    dispatcher_->Submit(item, now);
+  };
+  // An engine reads its prompts one after the other.
+  std::map<TargetId, Instant> busyUntil;
+  std::int64_t asked = 0;
+  for (int i = 0; i < 1200; ++i) {
+    now += 10ms;
+    submit("flood", 3000);
+    submit("flood", 3000);
+    if (i % 10 == 0) {
+      submit("small", 2000);
+      asked += i >= 600 ? 2000 : 0;
+    }
+    while (!firstEvents.empty() && firstEvents.begin()->first <= now) {
+      const auto id = firstEvents.begin()->second;
+      dispatcher_->OnFirstEvent(id, now);
+      dispatcher_->OnRunEnd(id, RunEnd::kWhole, now);
+      firstEvents.erase(firstEvents.begin());
+    }
+    dispatcher_->Tick(now);
+    dispatcher_->Pump(now);
+    for (const auto& start : TakeStarts()) {
+      const auto& owner = owners[start.first];
+      auto& busy = busyUntil[start.second];
+      busy = std::max(busy, now) + std::chrono::microseconds(owner.second * 28);
+      firstEvents.emplace(busy + 25ms, start.first);
+      begun[owner.first] += i >= 600 ? owner.second : 0;
+    }
+  }
+  // Far within an even share, so nearly all of it.
+  EXPECT_GE(begun["small"], asked * 8 / 10);
+}
+
+// Load pattern: a pool so full that room can't come while a request may wait.
+TEST_F(DispatcherTest, WhatCanNotBeServedIsTurnedAwayAtOnce)
+{
+  SetUpPool(1, 64, true);
+  for (int i = 0; i < 4; ++i) {
+    auto item = MakeItem("a", 0, 15'000, 0, 1s);
+    item.aim_ = 15s;
+    dispatcher_->Submit(item, 1s);
+  }
+  TakeStarts();
+  std::vector<RejectWork> rejects;
+  dispatcher_->Submit(MakeItem("a", 0, 1000, 0, 1s), 1s);
+  TakeStarts(&rejects);
+  ASSERT_EQ(rejects.size(), 1U);
+  EXPECT_EQ(rejects[0].reason_, RejectReason::kLate);
+  EXPECT_GT(rejects[0].retryAfter_, 0us);
+}
+
 // Load pattern: many engines are lost while one account floods the pool. What
 // stands back goes where next to nothing waits, so mostly to the lost ones.
 TEST_F(DispatcherTest, RunsThatNeverBeganCountForNoAccount)
--- a/tests/process/forwarding/target_directory_test.cpp
+++ b/tests/process/forwarding/target_directory_test.cpp
@@ -78,5 +78,24 @@
   EXPECT_EQ(directory.Size(), 1U);
 }
 
+TEST(TargetDirectoryLeaving, LastsWhateverTheListSays)
+{
+  TargetDirectory directory;
+  ListedTarget target;
+  target.id_ = MakeId<TargetId>("t1#5");
+  target.service_ = MakeId<ServiceId>("pool");
+  directory.Put("t1", target);
+  EXPECT_TRUE(directory.MarkLeaving(target.id_));
+  EXPECT_FALSE(directory.MarkLeaving(target.id_));
+  EXPECT_TRUE(directory.Usable(target.service_).empty());
+  directory.Remove("t1", 1s);
+  directory.Put("t1", target);
+  EXPECT_TRUE(directory.Usable(target.service_).empty());
+  // Another start under the same name is another target.
+  target.id_ = MakeId<TargetId>("t1#6");
+  directory.Put("t1", target);
+  EXPECT_EQ(directory.Usable(target.service_).size(), 1U);
+}
+
 } // namespace
 } // namespace burdockring
--- a/tests/process/membership/peer_table_test.cpp
+++ b/tests/process/membership/peer_table_test.cpp
@@ -1,6 +1,7 @@
 #include "process/membership/peer_table.h"
 
 #include <gtest/gtest.h>
+#include <set>
 
 namespace burdockring {
 namespace {
@@ -136,5 +137,124 @@
   EXPECT_LE(count(40), 8U + 2U * 39U);
 }
 
+/// A zone of many routers, of which router 7 and 9 are the largest.
+class LeadTest : public testing::Test
+{
+protected:
+  std::vector<RouterAddress> list_;
+
+  auto SetUp() -> void override
+  {
+    for (int i = 1; i <= 40; ++i) {
+      auto address = MakeAddress(i, (i - 1) / 20 + 1);
+      address.millicores_ = i == 7 || i == 9 ? 500 : 120;
+      list_.push_back(address);
+    }
+  }
+
+  auto MakeTable(int aSelf) -> PeerTable
+  {
+    PeerTable table(list_[static_cast<std::size_t>(aSelf - 1)], 1, 4);
+    table.SetListed(list_, 0us);
+    return table;
+  }
+
+  /// Everyone of the zone is heard at aNow but those excepted.
+  auto HearZone(PeerTable* aTable, Instant aNow, std::set<int> aExcept = {})
+    -> void
+  {
+    for (int i = 1; i <= 20; ++i) {
+      if (!aExcept.contains(i) && i != aTable->Self().id_.value_) {
+        aTable->OnHeartbeat(RouterId{ i }, 1, {}, aNow);
+      }
+    }
+  }
+};
+
+TEST_F(LeadTest, LargestLiveRoutersLead)
+{
+  auto table = MakeTable(3);
+  HearZone(&table, 1s);
+  const auto leads = table.Leads(ZoneId{ 1 });
+  EXPECT_EQ(std::set<RouterId>(leads.begin(), leads.end()),
+            (std::set<RouterId>{ RouterId{ 7 }, RouterId{ 9 } }));
+  EXPECT_FALSE(table.IsLead());
+  auto lead = MakeTable(7);
+  HearZone(&lead, 1s);
+  EXPECT_TRUE(lead.IsLead());
+}
+
+TEST_F(LeadTest, HeartbeatsGoToLeadsAndFromLeadsToAll)
+{
+  const auto sentIn = [](PeerTable* aTable) {
+    std::set<RouterId> sent;
+    for (const auto& heartbeat : aTable->Tick(2500ms, 0)) {
+      if (aTable->Peers().at(heartbeat.router_).address_.zone_ == ZoneId{ 1 }) {
+        sent.insert(heartbeat.router_);
+      }
+    }
+    return sent;
+  };
+  auto follower = MakeTable(3);
+  HearZone(&follower, 1s);
+  follower.Tick(1s, 0);
+  HearZone(&follower, 2400ms, { 1, 2, 4, 5, 6, 8, 10, 11, 12, 13, 14, 15, 16,
+                                17, 18, 19, 20 });
+  EXPECT_EQ(sentIn(&follower),
+            (std::set<RouterId>{ RouterId{ 7 }, RouterId{ 9 } }));
+  auto lead = MakeTable(7);
+  HearZone(&lead, 2400ms);
+  EXPECT_EQ(sentIn(&lead).size(), 19U);
+}
+
+TEST_F(LeadTest, AnotherLeadsOnceOneIsSilent)
+{
+  auto table = MakeTable(3);
+  HearZone(&table, 1s);
+  for (auto now = Instant(1s); now < 4s; now += 50ms) {
+    HearZone(&table, now, { 7 });
+    table.Tick(now, 0);
+  }
+  const auto leads = table.Leads(ZoneId{ 1 });
+  EXPECT_EQ(leads.size(), 2U);
+  EXPECT_EQ(leads[0], RouterId{ 9 });
+  EXPECT_NE(leads[1], RouterId{ 7 });
+}
+
+// A router that becomes a lead has not heard the zone itself until then.
+TEST_F(LeadTest, NewLeadCallsNobodyDeadBeforeItCouldHearThem)
+{
+  auto table = MakeTable(3);
+  HearZone(&table, 1s);
+  for (auto now = Instant(1s); now < 3s; now += 50ms) {
+    table.OnHeartbeat(RouterId{ 9 }, 1, {}, now);
+    table.Tick(now, 0);
+  }
+  // Router 7 is dead by now; the others were heard by nobody else here.
+  int dead = 0;
+  for (const auto& entry : table.Peers()) {
+    dead += entry.second.state_ == PeerState::kDead ? 1 : 0;
+  }
+  EXPECT_EQ(dead, 1);
+}
+
+TEST_F(LeadTest, FollowersLearnFromALeadWhoLives)
+{
+  auto lead = MakeTable(7);
+  HearZone(&lead, 1s, { 12 });
+  auto follower = MakeTable(3);
+  for (auto now = Instant(1s); now < 8s; now += 50ms) {
+    HearZone(&lead, now, { 12 });
+    for (const auto& heartbeat : lead.Tick(now, 0)) {
+      if (heartbeat.router_ == RouterId{ 3 }) {
+        follower.OnHeartbeat(RouterId{ 7 }, 1, heartbeat.heartbeat_, now);
+      }
+    }
+    follower.Tick(now, 0);
+  }
+  EXPECT_TRUE(follower.IsLive(RouterId{ 15 }));
+  EXPECT_FALSE(follower.IsLive(RouterId{ 12 }));
+}
+
 } // namespace
 } // namespace burdockring
--- /dev/null
+++ b/tests/support/router_zone.h
@@ -0,0 +1,288 @@
+#ifndef BURDOCKRING_TESTS_SUPPORT_ROUTER_ZONE_H
+#define BURDOCKRING_TESTS_SUPPORT_ROUTER_ZONE_H
+
+#include "process/forwarding/forwarding_node.h"
+#include "support/forwarding_fixture.h"
+#include "wire/envelope_codec.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace burdockring {
+
+/// Routers of one availability zone before a few engines, in virtual time. All
+/// messages between them go through their encoded form, and may be lost or come
+/// twice. What the engines see is the oracle.
+class RouterZone
+{
+public:
+  struct Options
+  {
+    int routers_ = 16;
+    int targets_ = 8;
+    int slots_ = 8;
+    double lossPart_ = 0;
+    double twicePart_ = 0;
+    std::uint32_t seed_ = 1;
+    bool engines_ = true;
+  };
+
+  /// Time from an attempt to its first event, and to its end.
+  static constexpr Duration kFirstEvent = 30ms;
+  static constexpr Duration kRunTime = 200ms;
+  static constexpr Duration kStep = 1ms;
+
+private:
+  struct Router
+  {
+    testing::NiceMock<MockEventLog> log_;
+    std::unique_ptr<ForwardingNode> node_;
+    Instant wake_{};
+    bool frozen_ = false;
+  };
+
+  struct Message
+  {
+    std::string host_;
+    std::string bytes_;
+  };
+
+  struct EngineRun
+  {
+    std::size_t router_ = 0;
+    RequestId request_ = 0;
+    int attempt_ = 0;
+    TargetId target_;
+  };
+
+  Options options_;
+  Instant now_ = 1s;
+  std::vector<std::unique_ptr<Router>> routers_;
+  std::vector<RouterAddress> addresses_;
+  std::multimap<Instant, Message> messages_;
+  std::multimap<Instant, EngineRun> firstEvents_;
+  std::multimap<Instant, EngineRun> ends_;
+  std::map<TargetId, int> running_;
+  std::map<std::string, std::size_t> hosts_;
+  std::mt19937 random_;
+  RequestId nextRequest_ = 1;
+  int mostRunning_ = 0;
+  std::int64_t datagrams_ = 0;
+  int starts_ = 0;
+  int refusals_ = 0;
+
+  [[nodiscard]] static auto HostOf(int aRouter) -> std::string
+  {
+    return "10.0." + std::to_string(aRouter / 250) + "." +
+           std::to_string(aRouter % 250 + 1);
+  }
+
+  auto Draw(double aPart) -> bool
+  {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < aPart;
+  }
+
+  auto AddRouter(int aNumber) -> void
+  {
+    RouterAddress address;
+    address.name_ = "router-" + std::to_string(aNumber);
+    address.id_ = MakeId<RouterId>(address.name_);
+    address.zone_ = MakeId<ZoneId>("near");
+    address.host_ = HostOf(aNumber);
+    address.peerPort_ = 7400;
+    // Two large ones, which are the leads where there are many.
+    address.millicores_ = aNumber < 2 ? 500 : 120;
+    addresses_.push_back(address);
+    hosts_[address.host_] = routers_.size();
+    routers_.push_back(std::make_unique<Router>());
+    Start(routers_.size() - 1, 1);
+  }
+
+  auto Start(std::size_t aRouter, std::int64_t aIncarnation) -> void
+  {
+    auto& router = *routers_[aRouter];
+    ForwardingOptions options;
+    options.retries_ = { 0.2, 1000, 10s };
+    router.node_ = std::make_unique<ForwardingNode>(
+      options, addresses_[aRouter], aIncarnation, &router.log_);
+    for (int i = 0; i < options_.targets_; ++i) {
+      const auto name = "t" + std::to_string(i);
+      router.node_->Directory().Put(name,
+                                    MakeTarget(name, "pool", options_.slots_));
+    }
+    router.node_->OnConfiguration(MakeTable(5, options_.engines_), "text",
+                                  now_);
+  }
+
+  auto Post(const SendToRouters& aEffect) -> void
+  {
+    const auto bytes = wire::EncodeEnvelope(aEffect.envelope_);
+    for (const auto& place : aEffect.routers_) {
+      ++datagrams_;
+      if (Draw(options_.lossPart_)) {
+        continue;
+      }
+      messages_.emplace(now_ + kStep, Message{ place.host_, bytes });
+      if (Draw(options_.twicePart_)) {
+        messages_.emplace(now_ + 7 * kStep, Message{ place.host_, bytes });
+      }
+    }
+  }
+
+  auto Apply(std::size_t aRouter) -> void
+  {
+    auto& node = *routers_[aRouter]->node_;
+    for (auto effects = node.TakeEffects(); !effects.empty();
+         effects = node.TakeEffects()) {
+      for (const auto& effect : effects) {
+        if (const auto* send = std::get_if<SendToRouters>(&effect)) {
+          Post(*send);
+        } else if (const auto* attempt = std::get_if<SendAttempt>(&effect)) {
+          Begin(aRouter, *attempt);
+        } else if (std::holds_alternative<RefuseCaller>(effect)) {
+          ++refusals_;
+        }
+      }
+    }
+    routers_[aRouter]->wake_ = node.NextWake(now_);
+  }
+
+  auto Begin(std::size_t aRouter, const SendAttempt& aAttempt) -> void
+  {
+    ++starts_;
+    const EngineRun run{ aRouter, aAttempt.request_, aAttempt.attempt_,
+                   aAttempt.target_ };
+    routers_[aRouter]->node_->OnAttemptSent(run.request_, run.attempt_);
+    mostRunning_ = std::max(mostRunning_, ++running_[run.target_]);
+    firstEvents_.emplace(now_ + kFirstEvent, run);
+    ends_.emplace(now_ + kRunTime, run);
+  }
+
+  template<typename Map, typename Action>
+  auto TakeDue(Map* aMap, Action aAction) -> void
+  {
+    while (!aMap->empty() && aMap->begin()->first <= now_) {
+      const auto item = aMap->begin()->second;
+      aMap->erase(aMap->begin());
+      aAction(item);
+    }
+  }
+
+  auto Step() -> void
+  {
+    now_ += kStep;
+    TakeDue(&messages_, [&](const Message& aMessage) {
+      const auto index = hosts_.at(aMessage.host_);
+      const auto envelope = wire::DecodeEnvelope(aMessage.bytes_);
+      if (!routers_[index]->frozen_ && envelope.ok()) {
+        routers_[index]->node_->OnPeer(*envelope, now_);
+        Apply(index);
+      }
+    });
+    TakeDue(&firstEvents_, [&](const EngineRun& aRun) {
+      routers_[aRun.router_]->node_->OnAnswerBegun(aRun.request_,
+                                                   aRun.attempt_, now_);
+      Apply(aRun.router_);
+    });
+    TakeDue(&ends_, [&](const EngineRun& aRun) {
+      --running_[aRun.target_];
+      routers_[aRun.router_]->node_->OnAnswerWhole(aRun.request_,
+                                                   aRun.attempt_, true, now_);
+      Apply(aRun.router_);
+    });
+    for (std::size_t i = 0; i < routers_.size(); ++i) {
+      auto& router = *routers_[i];
+      if (!router.frozen_ && router.wake_ <= now_) {
+        router.node_->OnConfigurationConfirmed(now_);
+        router.node_->Tick(now_);
+        Apply(i);
+      }
+    }
+  }
+
+public:
+  explicit RouterZone(const Options& aOptions)
+    : options_(aOptions)
+    , random_(aOptions.seed_)
+  {
+    for (int i = 0; i < options_.routers_; ++i) {
+      AddRouter(i);
+    }
+    for (auto& router : routers_) {
+      router->node_->OnRouters(addresses_, now_);
+    }
+  }
+
+  auto Run(Duration aTime) -> void
+  {
+    for (const auto end = now_ + aTime; now_ < end;) {
+      Step();
+    }
+  }
+
+  /// A request of account "a" at a router.
+  auto Arrive(std::size_t aRouter, int aPromptTokens = 500) -> void
+  {
+    ForwardArrival arrival;
+    arrival.id_ = nextRequest_++;
+    arrival.host_ = "h";
+    arrival.target_ = "/talk/x";
+    arrival.facts_.attemptId_ = "id-" + std::to_string(arrival.id_);
+    arrival.facts_.key_ = "key-a";
+    arrival.facts_.patience_ = 10s;
+    arrival.facts_.promptTokens_ = aPromptTokens;
+    arrival.facts_.maxOutputTokens_ = 20;
+    arrival.received_ = now_;
+    routers_[aRouter]->node_->OnArrival(std::move(arrival), now_);
+    Apply(aRouter);
+  }
+
+  auto Freeze(std::size_t aRouter, bool aFrozen) -> void
+  {
+    routers_[aRouter]->frozen_ = aFrozen;
+  }
+
+  /// The router's process is replaced by a new one that knows nothing.
+  auto Restart(std::size_t aRouter, std::int64_t aIncarnation) -> void
+  {
+    std::erase_if(firstEvents_, [&](const auto& aEntry) {
+      return aEntry.second.router_ == aRouter;
+    });
+    std::erase_if(ends_, [&](const auto& aEntry) {
+      const bool gone = aEntry.second.router_ == aRouter;
+      running_[aEntry.second.target_] -= gone ? 1 : 0;
+      return gone;
+    });
+    Start(aRouter, aIncarnation);
+    routers_[aRouter]->node_->OnRouters(addresses_, now_);
+    Apply(aRouter);
+  }
+
+  [[nodiscard]] auto Node(std::size_t aRouter) -> ForwardingNode&
+  {
+    return *routers_[aRouter]->node_;
+  }
+  [[nodiscard]] auto Now() const -> Instant { return now_; }
+  [[nodiscard]] auto Starts() const -> int { return starts_; }
+  [[nodiscard]] auto Refusals() const -> int { return refusals_; }
+  [[nodiscard]] auto MostRunning() const -> int { return mostRunning_; }
+  [[nodiscard]] auto Datagrams() const -> std::int64_t { return datagrams_; }
+  [[nodiscard]] auto RunningAt(TargetId aTarget) const -> int
+  {
+    const auto found = running_.find(aTarget);
+    return found == running_.end() ? 0 : found->second;
+  }
+  /// Requests that a router believes to run at a target.
+  [[nodiscard]] auto BelievedAt(std::size_t aRouter, TargetId aTarget) -> int
+  {
+    const auto* load = Node(aRouter).Work().Loads().Find(aTarget);
+    return load == nullptr ? 0 : load->Total().running_;
+  }
+};
+
+} // namespace burdockring
+
+#endif
