--- a/src/process/forwarding/account_shares.h
+++ b/src/process/forwarding/account_shares.h
@@ -52,7 +52,7 @@
   static constexpr Duration kPeerLife = 1500ms;
   /// What a full pool may come to give within a window, as a multiple of what
   /// it gave in the last: room for a pool that is full in places only.
-  static constexpr double kGrowth = 1.25;
+  static constexpr double kGrowth = 1.5;
   /// How often the level is worked out anew.
   static constexpr Duration kLevelInterval = 50ms;
 
