--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -106,9 +106,8 @@
   }
   const auto& targets = TargetsOf(aItem.service_);
   const auto standing =
-    service->isEngine_
-      ? shares_.Standing(aItem.account_, Tokens(aItem), aNow)
-      : ShareStanding::kOwed;
+    service->isEngine_ ? shares_.Standing(aItem.account_, Tokens(aItem), aNow)
+                       : ShareStanding::kOwed;
   const auto limits =
     service->isEngine_ ? LimitsFor(aItem, standing, aNow) : PlaceLimits{};
   const auto candidate =
@@ -116,9 +115,8 @@
   if (!candidate) {
     aRefusal->roomIn_ = RestOfAll(aItem.service_, aNow);
     aRefusal->expectedWait_ = aRefusal->roomIn_;
-    aRefusal->reason_ = aRefusal->roomIn_ > 0us
-                          ? RejectReason::kResting
-                          : RejectReason::kNoTarget;
+    aRefusal->reason_ = aRefusal->roomIn_ > 0us ? RejectReason::kResting
+                                                : RejectReason::kNoTarget;
     return false;
   }
   if (candidate->fits_) {
--- a/src/process/forwarding/dispatcher.h
+++ b/src/process/forwarding/dispatcher.h
@@ -175,9 +175,8 @@
   [[nodiscard]] static auto OnTimeWait(const WorkItem& aItem, Instant aNow)
     -> std::optional<Duration>;
   /// What a target must offer for the request, with its account standing so.
-  auto LimitsFor(const WorkItem& aItem,
-                 ShareStanding aStanding,
-                 Instant aNow) -> PlaceLimits;
+  auto LimitsFor(const WorkItem& aItem, ShareStanding aStanding, Instant aNow)
+    -> PlaceLimits;
   auto TryStart(const WorkItem& aItem, Instant aNow, RejectWork* aRefusal)
     -> bool;
   auto Start(const WorkItem& aItem,
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -312,19 +312,18 @@
                              const ListedTarget& aTarget,
                              Instant aNow) -> void
 {
-  log_->Write(
-    "sent",
-    { { "request", aRequest.arrival_.facts_.attemptId_ },
-      { "attempt", std::int64_t{ aRequest.attempt_ } },
-      { "target", aTarget.instance_ },
-      { "account", aRequest.account_ },
-      { "standing", ShareStandingName(aVerdict.standing_) },
-      { "placed_by", NameOfLead(aVerdict.request_) },
-      { "reads", std::int64_t{ aVerdict.adds_.prefillTokens_ } },
-      { "copies", std::int64_t{ aVerdict.copyFrom_ ? 1 : 0 } },
-      { "expected_ms", ToMillis(aVerdict.expectedWait_) },
-      { "waited_ms", ToMillis(aNow - aRequest.arrival_.received_) },
-      { "version", aRequest.table_->Version() } });
+  log_->Write("sent",
+              { { "request", aRequest.arrival_.facts_.attemptId_ },
+                { "attempt", std::int64_t{ aRequest.attempt_ } },
+                { "target", aTarget.instance_ },
+                { "account", aRequest.account_ },
+                { "standing", ShareStandingName(aVerdict.standing_) },
+                { "placed_by", NameOfLead(aVerdict.request_) },
+                { "reads", std::int64_t{ aVerdict.adds_.prefillTokens_ } },
+                { "copies", std::int64_t{ aVerdict.copyFrom_ ? 1 : 0 } },
+                { "expected_ms", ToMillis(aVerdict.expectedWait_) },
+                { "waited_ms", ToMillis(aNow - aRequest.arrival_.received_) },
+                { "version", aRequest.table_->Version() } });
 }
 
 auto ForwardingNode::Apply(const StartWork& aVerdict, Instant aNow) -> void
@@ -680,8 +679,8 @@
   }
   if (aEnvelope.__isset.placement) {
     const RouterId from{ aEnvelope.sender };
-    placementServer_.OnMessage(from, aEnvelope.incarnation,
-                               aEnvelope.placement, aNow);
+    placementServer_.OnMessage(from, aEnvelope.incarnation, aEnvelope.placement,
+                               aNow);
     placements_.OnMessage(from, aEnvelope.placement, aNow);
     TakeVerdicts(aNow);
   }
--- a/src/process/forwarding/peer_exchange.cpp
+++ b/src/process/forwarding/peer_exchange.cpp
@@ -301,9 +301,8 @@
   }
   effects_->emplace_back(TakeListNews{ list, aNews });
   const auto sender = peers_.Peers().find(aFrom);
-  const bool isFromAfar =
-    sender != peers_.Peers().end() &&
-    sender->second.address_.zone_ != peers_.Self().zone_;
+  const bool isFromAfar = sender != peers_.Peers().end() &&
+                          sender->second.address_.zone_ != peers_.Self().zone_;
   if (isFromAfar) {
     TellListNews(Followers(), aNews);
   }
@@ -451,8 +450,7 @@
   }
   if (aList == SharedList::kConfiguration) {
     turns_.Note(aList, config_->AsOf());
-    const auto timeout =
-      peers_.IsLead() ? kOfferTimeout : kFarOfferTimeout;
+    const auto timeout = peers_.IsLead() ? kOfferTimeout : kFarOfferTimeout;
     if (newerSince_ && aNow - *newerSince_ >= timeout) {
       return turns_.TimeToFirstRead(aList, rank, aNow);
     }
--- a/src/process/forwarding/peer_exchange.h
+++ b/src/process/forwarding/peer_exchange.h
@@ -21,8 +21,8 @@
 /// one reads for the others. Messages are datagrams, each of which may be lost.
 /// Without I/O: what is to be sent goes to the effects.
 ///
-/// Leads tell each other all this, and each tells its zone the configuration and
-/// the news; so what a router hears does not grow with the fleet.
+/// Leads tell each other all this, and each tells its zone the configuration
+/// and the news; so what a router hears does not grow with the fleet.
 class PeerExchange
 {
   /// Leads of the whole fleet, which know the load at every target. Each
--- a/src/process/forwarding/placement.cpp
+++ b/src/process/forwarding/placement.cpp
@@ -197,8 +197,8 @@
   candidate.roomIn_ =
     std::max<Duration>(candidate.backlog_ - aLimits.maxBacklog_, 0us);
   if (aLimits.maxWait_) {
-    candidate.roomIn_ =
-      std::max<Duration>(candidate.roomIn_, candidate.wait_ - *aLimits.maxWait_);
+    candidate.roomIn_ = std::max<Duration>(candidate.roomIn_,
+                                           candidate.wait_ - *aLimits.maxWait_);
   }
   candidate.fits_ =
     candidate.hasSlot_ && candidate.backlog_ <= aLimits.maxBacklog_ &&
--- a/src/process/forwarding/placement_client.cpp
+++ b/src/process/forwarding/placement_client.cpp
@@ -70,8 +70,7 @@
   auto ask = std::move(found->second);
   numbers_.erase(ask.number_);
   asks_.erase(found);
-  outbox_[ask.lead_].notes.push_back(
-    EndNote(ask.number_, RunEnd::kCancelled));
+  outbox_[ask.lead_].notes.push_back(EndNote(ask.number_, RunEnd::kCancelled));
   return ask;
 }
 
@@ -86,12 +85,12 @@
     // Too late: the request went elsewhere or its caller has gone. A run that
     // is under way keeps its number, so that an answer that comes twice does
     // not end it.
-    const bool runs = std::any_of(
-      runs_.begin(), runs_.end(), [&](const auto& aEntry) {
+    const bool runs =
+      std::any_of(runs_.begin(), runs_.end(), [&](const auto& aEntry) {
         return aEntry.second.number_ == aAnswer.request;
       });
-    if (!runs && aAnswer.outcome ==
-                   static_cast<std::int32_t>(PlaceOutcome::kStarts)) {
+    if (!runs &&
+        aAnswer.outcome == static_cast<std::int32_t>(PlaceOutcome::kStarts)) {
       outbox_[aFrom].notes.push_back(
         EndNote(aAnswer.request, RunEnd::kCancelled));
     }
@@ -295,8 +294,8 @@
 {
   std::optional<Instant> wake;
   for (const auto& entry : asks_) {
-    wake = std::min(wake.value_or(entry.second.answerBy_),
-                    entry.second.answerBy_);
+    wake =
+      std::min(wake.value_or(entry.second.answerBy_), entry.second.answerBy_);
   }
   return wake;
 }
--- a/src/process/forwarding/placement_server.cpp
+++ b/src/process/forwarding/placement_server.cpp
@@ -145,8 +145,8 @@
 auto PlacementServer::TakeVerdict(const DispatchVerdict& aVerdict, Instant aNow)
   -> bool
 {
-  const auto id = std::visit(
-    [](const auto& aTyped) { return aTyped.request_; }, aVerdict);
+  const auto id =
+    std::visit([](const auto& aTyped) { return aTyped.request_; }, aVerdict);
   if (id < kFirstId) {
     return false;
   }
--- a/src/process/forwarding/read_turns.h
+++ b/src/process/forwarding/read_turns.h
@@ -23,11 +23,11 @@
 
 /// Decides when this router reads a list at its source itself.
 ///
-/// The first of all routers, by a rank that all of them work out alike, reads as
-/// often as it can and tells the others. The others read only when no news has
-/// come for some time, one after the other, so that reads at the source do not
-/// grow with the fleet. Nothing has to be agreed: a router that hears nothing
-/// reads, and a zone that is cut off has a first one of its own.
+/// The first of all routers, by a rank that all of them work out alike, reads
+/// as often as it can and tells the others. The others read only when no news
+/// has come for some time, one after the other, so that reads at the source do
+/// not grow with the fleet. Nothing has to be agreed: a router that hears
+/// nothing reads, and a zone that is cut off has a first one of its own.
 ///
 /// Load pattern: many routers before one source whose calls are limited and
 /// priced; a source that turns some routers away, or is down.
--- a/src/process/membership/peer_table.cpp
+++ b/src/process/membership/peer_table.cpp
@@ -39,9 +39,9 @@
 
 auto LeadScore(const RouterAddress& aRouter) -> std::pair<int, std::uint64_t>
 {
-  return { aRouter.millicores_, RendezvousScore(aRouter.id_.value_,
-                                                aRouter.zone_.value_,
-                                                kLeadSalt) };
+  return { aRouter.millicores_,
+           RendezvousScore(aRouter.id_.value_, aRouter.zone_.value_,
+                           kLeadSalt) };
 }
 
 /// Keeps the first so many routers, in the order of leads.
@@ -61,8 +61,7 @@
 
 auto Contains(const std::vector<RouterId>& aRouters, RouterId aRouter) -> bool
 {
-  return std::find(aRouters.begin(), aRouters.end(), aRouter) !=
-         aRouters.end();
+  return std::find(aRouters.begin(), aRouters.end(), aRouter) != aRouters.end();
 }
 
 } // namespace
@@ -200,8 +199,7 @@
     JudgeRemote(aId, aPeer, aNow);
     return;
   }
-  const auto silent =
-    aNow - std::max(aPeer->lastHeard_, aPeer->directSince_);
+  const auto silent = aNow - std::max(aPeer->lastHeard_, aPeer->directSince_);
   if (silent > kProbeAfter && !aPeer->probed_) {
     aPeer->probed_ = true;
     probes_.push_back(aId);
@@ -290,9 +288,8 @@
     const bool sameZone = peer.address_.zone_ == self_.zone_;
     const bool lost =
       sameZone && peer.direct_ && peer.state_ == PeerState::kDead;
-    const bool mine = sameZone
-                        ? tellsOfZone
-                        : ownGateways_.contains(peer.address_.zone_);
+    const bool mine =
+      sameZone ? tellsOfZone : ownGateways_.contains(peer.address_.zone_);
     const bool fresh = mine && (aFull || peer.newsRepeats_ > 0);
     if (!lost && !fresh) {
       continue;
@@ -507,8 +504,7 @@
   return LeadsOf(aZone).live_;
 }
 
-auto PeerTable::UnheardLeads(ZoneId aZone) const
-  -> const std::vector<RouterId>&
+auto PeerTable::UnheardLeads(ZoneId aZone) const -> const std::vector<RouterId>&
 {
   return LeadsOf(aZone).unheard_;
 }
--- a/src/process/membership/peer_table.h
+++ b/src/process/membership/peer_table.h
@@ -174,9 +174,7 @@
 
 public:
   /// aMostLeads: leads of the whole fleet; zero: every router is one.
-  PeerTable(RouterAddress aSelf,
-            std::int64_t aIncarnation,
-            int aMostLeads = 0);
+  PeerTable(RouterAddress aSelf, std::int64_t aIncarnation, int aMostLeads = 0);
 
   /// Takes the list of routers that may be there. Those no longer listed stay
   /// while they are heard.
--- a/tests/platform/header_adapter_test.cpp
+++ b/tests/platform/header_adapter_test.cpp
@@ -119,8 +119,8 @@
     503, { { "X-Not-Executed", "1" }, { "Retry-After", "1.5" } });
   EXPECT_FALSE(rests.notice_.leaves_);
   EXPECT_EQ(rests.notice_.rest_, 1500ms);
-  EXPECT_EQ(adapter.ReadAnswer(503, { { "Retry-After", "soon" } }).notice_.rest_,
-            0us);
+  EXPECT_EQ(
+    adapter.ReadAnswer(503, { { "Retry-After", "soon" } }).notice_.rest_, 0us);
   EXPECT_EQ(adapter.ReadAnswer(200, { { "Retry-After", "2" } }).notice_.rest_,
             0us);
 }
--- a/tests/platform/record_codec_test.cpp
+++ b/tests/platform/record_codec_test.cpp
@@ -118,7 +118,8 @@
 {
   std::string bytes(16, '\0');
   for (int i = 0; i < 50; ++i) {
-    bytes += EncodeRecord({ "key-" + std::to_string(i), std::string(100, 'v') });
+    bytes +=
+      EncodeRecord({ "key-" + std::to_string(i), std::string(100, 'v') });
   }
   const auto batch = DecodeBatch(bytes);
   ASSERT_TRUE(batch.ok());
--- a/tests/process/forwarding/lead_placement_test.cpp
+++ b/tests/process/forwarding/lead_placement_test.cpp
@@ -140,9 +140,7 @@
   }
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds,
-                         LossyPlacementTest,
-                         testing::Range(1U, 13U));
+INSTANTIATE_TEST_SUITE_P(Seeds, LossyPlacementTest, testing::Range(1U, 13U));
 
 TEST(PlacementWireTest, AskComesBackAsItWas)
 {
--- a/tests/process/membership/peer_table_test.cpp
+++ b/tests/process/membership/peer_table_test.cpp
@@ -198,8 +198,8 @@
   auto follower = MakeTable(3);
   HearZone(&follower, 1s);
   follower.Tick(1s, 0);
-  HearZone(&follower, 2400ms, { 1, 2, 4, 5, 6, 8, 10, 11, 12, 13, 14, 15, 16,
-                                17, 18, 19, 20 });
+  HearZone(&follower, 2400ms,
+           { 1, 2, 4, 5, 6, 8, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20 });
   EXPECT_EQ(sentIn(&follower),
             (std::set<RouterId>{ RouterId{ 7 }, RouterId{ 9 } }));
   auto lead = MakeTable(7);
--- a/tests/support/router_zone.h
+++ b/tests/support/router_zone.h
@@ -155,7 +155,7 @@
   {
     ++starts_;
     const EngineRun run{ aRouter, aAttempt.request_, aAttempt.attempt_,
-                   aAttempt.target_ };
+                         aAttempt.target_ };
     routers_[aRouter]->node_->OnAttemptSent(run.request_, run.attempt_);
     mostRunning_ = std::max(mostRunning_, ++running_[run.target_]);
     firstEvents_.emplace(now_ + kFirstEvent, run);
@@ -188,14 +188,14 @@
       }
     });
     TakeDue(&firstEvents_, [&](const EngineRun& aRun) {
-      routers_[aRun.router_]->node_->OnAnswerBegun(aRun.request_,
-                                                   aRun.attempt_, now_);
+      routers_[aRun.router_]->node_->OnAnswerBegun(aRun.request_, aRun.attempt_,
+                                                   now_);
       Apply(aRun.router_);
     });
     TakeDue(&ends_, [&](const EngineRun& aRun) {
       --running_[aRun.target_];
-      routers_[aRun.router_]->node_->OnAnswerWhole(aRun.request_,
-                                                   aRun.attempt_, true, now_);
+      routers_[aRun.router_]->node_->OnAnswerWhole(aRun.request_, aRun.attempt_,
+                                                   true, now_);
       Apply(aRun.router_);
     });
     for (std::size_t i = 0; i < routers_.size(); ++i) {
