Drop the time until room, which no decision used any more

Ruled out: a change of behaviour, as the only reader asked for that reason. Change: the field and its computation are gone.

--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -113,10 +113,9 @@
   const auto candidate =
     placement_.Choose(aItem, *service, targets, limits, aNow);
   if (!candidate) {
-    aRefusal->roomIn_ = RestOfAll(aItem.service_, aNow);
-    aRefusal->expectedWait_ = aRefusal->roomIn_;
-    aRefusal->reason_ = aRefusal->roomIn_ > 0us ? RejectReason::kResting
-                                                : RejectReason::kNoTarget;
+    aRefusal->expectedWait_ = RestOfAll(aItem.service_, aNow);
+    aRefusal->reason_ = aRefusal->expectedWait_ > 0us ? RejectReason::kResting
+                                                      : RejectReason::kNoTarget;
     return false;
   }
   if (candidate->fits_) {
@@ -128,7 +127,6 @@
                       : isBeyond           ? RejectReason::kOverShare
                                            : RejectReason::kLate;
   aRefusal->expectedWait_ = candidate->wait_;
-  aRefusal->roomIn_ = candidate->roomIn_;
   return false;
 }
 
@@ -225,7 +223,7 @@
                             Instant aNow) -> bool
 {
   return aRefusal.reason_ == RejectReason::kResting &&
-         aNow + aRefusal.roomIn_ > aGiveUpAt;
+         aNow + aRefusal.expectedWait_ > aGiveUpAt;
 }
 
 auto Dispatcher::Tokens(const WorkItem& aItem) -> std::int64_t
--- a/src/process/forwarding/dispatcher.h
+++ b/src/process/forwarding/dispatcher.h
@@ -51,8 +51,6 @@
   RejectReason reason_ = RejectReason::kNoRoom;
   Duration retryAfter_{};
   Duration expectedWait_{};
-  /// How long it takes at least until there is room.
-  Duration roomIn_{};
 };
 
 using DispatchVerdict = std::variant<StartWork, RejectWork>;
@@ -190,7 +188,7 @@
   /// How long all targets of a service want nothing; zero: one may be used.
   auto RestOfAll(ServiceId aService, Instant aNow) -> Duration;
   auto ComeBackTime(const WorkItem& aItem, Instant aNow) -> Duration;
-  /// Whether room comes too late for what waits until aGiveUpAt.
+  /// Whether all targets rest for longer than what waits until aGiveUpAt may.
   [[nodiscard]] static auto IsHopeless(const RejectWork& aRefusal,
                                        Instant aGiveUpAt,
                                        Instant aNow) -> bool;
--- a/src/process/forwarding/placement.cpp
+++ b/src/process/forwarding/placement.cpp
@@ -194,12 +194,6 @@
   const bool hasMemory = aService.memoryTokens_ <= 0 || total.running_ == 0 ||
                          memory <= kMemoryPart * aService.memoryTokens_;
   candidate.hasSlot_ = hasMemory && total.running_ < slots;
-  candidate.roomIn_ =
-    std::max<Duration>(candidate.backlog_ - aLimits.maxBacklog_, 0us);
-  if (aLimits.maxWait_) {
-    candidate.roomIn_ = std::max<Duration>(candidate.roomIn_,
-                                           candidate.wait_ - *aLimits.maxWait_);
-  }
   candidate.fits_ =
     candidate.hasSlot_ && candidate.backlog_ <= aLimits.maxBacklog_ &&
     (!aLimits.maxWait_ || candidate.wait_ <= *aLimits.maxWait_) &&
@@ -223,7 +217,6 @@
   const bool staysAtKeepers =
     heavy && std::any_of(keepers.begin(), keepers.end(), isOpen);
   std::optional<Candidate> best;
-  auto roomIn = Duration::max();
   for (const auto i : places) {
     const auto rank = static_cast<std::size_t>(
       std::find(keepers.begin(), keepers.end(), i) - keepers.begin());
@@ -238,16 +231,11 @@
       WeighEngine(aItem, aService, aTargets[i], rank, sources, limits, aNow);
     if (staysAtKeepers && rank >= kKeepers) {
       candidate.fits_ = false;
-    } else {
-      roomIn = std::min(roomIn, candidate.roomIn_);
     }
     if (!best || IsBetter(candidate, *best)) {
       best = candidate;
     }
   }
-  if (best) {
-    best->roomIn_ = roomIn;
-  }
   return best;
 }
 
--- a/src/process/forwarding/placement.h
+++ b/src/process/forwarding/placement.h
@@ -64,9 +64,6 @@
   bool hasSlot_ = false;
   /// Whether the target is within the limits.
   bool fits_ = false;
-  /// How long it takes at least until a target is within them; zero where that
-  /// can't be told.
-  Duration roomIn_{};
 };
 
 /// Chooses targets.
