--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -518,6 +518,12 @@
   node_.OnRouters(aRouters, BootNow());
 }
 
+auto ForwardingProcess::OnStoreEpoch(std::optional<std::int64_t> aEpoch)
+  -> EpochOrder
+{
+  return node_.OnStoreEpoch(aEpoch, BootNow());
+}
+
 auto ForwardingProcess::TimeToRead(SharedList aList, bool aFirst) -> Duration
 {
   return node_.TimeToRead(aList, aFirst, BootNow());
--- a/src/main/forwarding_process.h
+++ b/src/main/forwarding_process.h
@@ -115,6 +115,7 @@
     -> void override;
   auto OnTargetListReachable(bool aReachable) -> void override;
   auto OnRouters(const std::vector<RouterAddress>& aRouters) -> void override;
+  auto OnStoreEpoch(std::optional<std::int64_t> aEpoch) -> EpochOrder override;
   auto TimeToRead(SharedList aList, bool aFirst) -> Duration override;
   auto OnListRead(SharedList aList,
                   bool aSuccess,
--- a/src/process/forwarding/config_in_force.cpp
+++ b/src/process/forwarding/config_in_force.cpp
@@ -5,28 +5,49 @@
 
 namespace burdockring {
 
-auto ConfigInForceState::Offer(RouteTablePointer aTable,
-                               std::string aText,
-                               Instant aAsOf) -> bool
+auto ConfigInForceState::OfferFromStore(RouteTablePointer aTable,
+                                        std::string aText,
+                                        Instant aAsOf) -> bool
 {
-  if (aTable->Version() < table_->Version()) {
-    return false;
-  }
-  if (aTable->Version() == table_->Version()) {
-    Confirm(aAsOf);
+  storeVersion_ = aTable->Version();
+  const bool isNewer = OfferFromPeer(std::move(aTable), std::move(aText));
+  ConfirmFromStore(aAsOf);
+  return isNewer;
+}
+
+auto ConfigInForceState::OfferFromPeer(RouteTablePointer aTable,
+                                       std::string aText) -> bool
+{
+  if (aTable->Version() <= table_->Version()) {
     return false;
   }
   table_ = std::move(aTable);
   text_ = std::move(aText);
-  asOf_ = std::max(asOf_, aAsOf);
   return true;
 }
 
+auto ConfigInForceState::ConfirmFromStore(Instant aAsOf) -> void
+{
+  if (storeVersion_ >= table_->Version() && aAsOf >= storeHeldUntil_) {
+    Confirm(aAsOf);
+  }
+}
+
 auto ConfigInForceState::Confirm(Instant aAsOf) -> void
 {
   asOf_ = std::max(asOf_, aAsOf);
 }
 
+auto ConfigInForceState::OnStoreRestored() -> void
+{
+  storeVersion_ = 0;
+}
+
+auto ConfigInForceState::HoldStore(Instant aUntil) -> void
+{
+  storeHeldUntil_ = std::max(storeHeldUntil_, aUntil);
+}
+
 auto ConfigInForceState::Table() const -> const RouteTablePointer&
 {
   return table_;
--- a/src/process/forwarding/discovery_sink.h
+++ b/src/process/forwarding/discovery_sink.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 #include "peer_types.h"
 #include "process/forwarding/read_turns.h"
+#include "process/forwarding/store_epoch.h"
 #include "process/forwarding/target_directory.h"
 #include "process/membership/peer_table.h"
 #include "version/route_table.h"
@@ -43,8 +44,13 @@
   virtual auto OnRouters(const std::vector<RouterAddress>& aRouters)
     -> void = 0;
 
+  /// The epoch of the store that an answer or a peer's news belongs to. Gives
+  /// how it is to be taken: an older one says nothing any more; after a newer
+  /// one all lists must be read whole, and own entries written again.
+  virtual auto OnStoreEpoch(std::optional<std::int64_t> aEpoch)
+    -> EpochOrder = 0;
   /// Time until this router should read the list itself; zero: now. aFirst:
-  /// it has never read it.
+  /// it has never read it, or not in this epoch of the store.
   virtual auto TimeToRead(SharedList aList, bool aFirst) -> Duration = 0;
   /// An own read has ended. The news, if any, is for the routers near by; where
   /// the source was out of reach it says so.
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -628,11 +628,20 @@
   const auto version = aTable->Version();
   const auto routes = static_cast<std::int64_t>(aTable->RouteCount());
   const auto before = config_.Table()->Version();
-  if (!config_.Offer(std::move(aTable), std::move(aText), aAsOf)) {
+  const bool isFromStore = aAsOf > 0us;
+  const bool isNewer =
+    isFromStore
+      ? config_.OfferFromStore(std::move(aTable), std::move(aText), aAsOf)
+      : config_.OfferFromPeer(std::move(aTable), std::move(aText));
+  if (!isNewer) {
+    if (version < before) {
+      log_->Write("configuration_ignored",
+                  { { "version", version }, { "in_force", before } });
+    }
     return;
   }
   dispatcher_.SetTable(config_.Table());
-  peers_.OnConfigurationInForce(aAsOf > 0us);
+  peers_.OnConfigurationInForce(isFromStore);
   log_->Write(
     "configuration_in_force",
     { { "version", version }, { "before", before }, { "routes", routes } });
@@ -640,7 +649,42 @@
 
 auto ForwardingNode::OnConfigurationConfirmed(Instant aAsOf) -> void
 {
-  config_.Confirm(aAsOf);
+  config_.ConfirmFromStore(aAsOf);
+}
+
+auto ForwardingNode::OnStoreEpoch(std::optional<std::int64_t> aEpoch,
+                                  Instant aNow) -> EpochOrder
+{
+  const auto before = storeEpoch_.Newest();
+  const auto order = storeEpoch_.Note(aEpoch);
+  if (order != EpochOrder::kNewer) {
+    return order;
+  }
+  directory_.OnStoreRestored(aNow);
+  config_.OnStoreRestored();
+  config_.HoldStore(aNow + kRewriteGrace);
+  peers_.TellGone(directory_.Gone(), aNow);
+  log_->Write(
+    "store_epoch_changed",
+    { { "before", *before },
+      { "after", *aEpoch },
+      { "version_kept", config_.Table()->Version() },
+      { "config_age_ms", ToMillis(aNow - config_.AsOf()) },
+      { "targets_kept", static_cast<std::int64_t>(directory_.Size()) },
+      { "targets_gone",
+        static_cast<std::int64_t>(directory_.Gone().size()) } });
+  return order;
+}
+
+auto ForwardingNode::ShowsOlderCopy(
+  const std::vector<RouterAddress>& aRouters) const -> bool
+{
+  const auto newest = storeEpoch_.Newest();
+  return newest && std::any_of(aRouters.begin(), aRouters.end(),
+                               [&](const RouterAddress& aRouter) {
+                                 return aRouter.storeEpoch_ &&
+                                        *aRouter.storeEpoch_ < *newest;
+                               });
 }
 
 auto ForwardingNode::Directory() -> TargetDirectory&
@@ -651,6 +695,15 @@
 auto ForwardingNode::OnRouters(const std::vector<RouterAddress>& aRouters,
                                Instant aNow) -> void
 {
+  const bool isFirst = !std::exchange(knowsRouters_, true);
+  if (isFirst && ShowsOlderCopy(aRouters)) {
+    // What this router reads may be older than what the others know.
+    config_.HoldStore(aNow + kRewriteGrace);
+    learnsGoneUntil_ = aNow + kRewriteGrace;
+    log_->Write("started_on_older_copy",
+                { { "epoch", *storeEpoch_.Newest() },
+                  { "hold_ms", ToMillis(kRewriteGrace) } });
+  }
   peers_.SetListed(aRouters, aNow);
 }
 
@@ -676,6 +729,11 @@
     for (const auto target : aEnvelope.load.leaving) {
       directory_.MarkLeaving(TargetId{ target });
     }
+    if (aNow < learnsGoneUntil_) {
+      for (const auto target : aEnvelope.load.gone) {
+        directory_.MarkGone(TargetId{ target });
+      }
+    }
   }
   if (aEnvelope.__isset.placement) {
     const RouterId from{ aEnvelope.sender };
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -10,6 +10,7 @@
 #include "process/forwarding/placement_client.h"
 #include "process/forwarding/placement_server.h"
 #include "process/forwarding/retry_allowance.h"
+#include "process/forwarding/store_epoch.h"
 #include "process/forwarding/target_directory.h"
 #include "request/request_facts.h"
 #include "request/request_machine.h"
@@ -138,6 +139,11 @@
   PlacementClient placements_;
   PlacementServer placementServer_;
   OwnCapacity capacity_;
+  StoreEpoch storeEpoch_;
+  /// Whether a list of the routers has come yet.
+  bool knowsRouters_ = false;
+  /// Until when peers are believed on which targets are gone.
+  Instant learnsGoneUntil_{};
   ForwardingCounters counters_;
   bool stopping_ = false;
   Intake intake_ = Intake::kAll;
@@ -184,6 +190,10 @@
   auto Apply(const RejectWork& aVerdict, Instant aNow) -> void;
   auto Expire(Instant aNow) -> void;
   auto LogChanges() -> void;
+  /// Whether one of the routers entered itself before the store came back from
+  /// an older copy.
+  [[nodiscard]] auto ShowsOlderCopy(
+    const std::vector<RouterAddress>& aRouters) const -> bool;
 
 public:
   ForwardingNode(const ForwardingOptions& aOptions,
@@ -221,10 +231,15 @@
                        std::string_view aCause,
                        Instant aNow) -> void;
 
+  /// A configuration came from the store, where it was the newest at aAsOf, or
+  /// from a peer, if aAsOf is zero.
   auto OnConfiguration(RouteTablePointer aTable,
                        std::string aText,
                        Instant aAsOf) -> void;
   auto OnConfigurationConfirmed(Instant aAsOf) -> void;
+  /// The epoch of the store that an answer or a peer's news belongs to.
+  auto OnStoreEpoch(std::optional<std::int64_t> aEpoch, Instant aNow)
+    -> EpochOrder;
   auto Directory() -> TargetDirectory&;
   auto OnRouters(const std::vector<RouterAddress>& aRouters, Instant aNow)
     -> void;
--- a/src/process/forwarding/peer_exchange.cpp
+++ b/src/process/forwarding/peer_exchange.cpp
@@ -145,6 +145,9 @@
   aEnvelope.load.configVersion = config_->Table()->Version();
   aEnvelope.load.configAgeMicros = (aNow - config_->AsOf()).count();
   aEnvelope.load.stampMicros = aNow.count();
+  if (aNow < tellsGoneUntil_) {
+    aEnvelope.load.gone = gone_;
+  }
   auto bare = aEnvelope;
   bare.load.targets.clear();
   bare.load.accounts.clear();
@@ -397,6 +400,18 @@
   leaving_[aTarget] = kLeavingRepeats;
 }
 
+auto PeerExchange::TellGone(const std::set<TargetId>& aTargets, Instant aNow)
+  -> void
+{
+  gone_.clear();
+  for (const auto target : aTargets) {
+    if (gone_.size() < kMaxGoneTold) {
+      gone_.push_back(target.value_);
+    }
+  }
+  tellsGoneUntil_ = aNow + kGoneTime;
+}
+
 auto PeerExchange::SendPlacements(const PlacementOutbox& aOutbox) -> void
 {
   for (const auto& entry : aOutbox) {
--- a/src/process/forwarding/peer_exchange.h
+++ b/src/process/forwarding/peer_exchange.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,10 @@
   static constexpr std::size_t kMaxPieces = 256;
   /// Largest news that is passed on in a datagram, in bytes.
   static constexpr std::size_t kMaxDatagramBytes = 60'000;
+  /// How long other routers are told which targets were gone before the store's
+  /// return, and of how many at the most.
+  static constexpr Duration kGoneTime = 4s;
+  static constexpr std::size_t kMaxGoneTold = 4000;
   /// How many reports tell of a target that leaves.
   static constexpr int kLeavingRepeats = 3;
 
@@ -65,6 +70,8 @@
   bool announces_ = false;
   /// Targets that said they leave, and how many reports are still to tell so.
   std::map<TargetId, int> leaving_;
+  std::vector<std::int32_t> gone_;
+  Instant tellsGoneUntil_{};
   Instant lastConfigRequest_{};
   /// Since when a peer has had a newer configuration.
   std::optional<Instant> newerSince_;
@@ -120,6 +127,9 @@
   auto OnPeer(const wire::Envelope& aEnvelope, Instant aNow) -> void;
   /// The target said that it leaves; the leads are told.
   auto TellLeaving(TargetId aTarget) -> void;
+  /// The store came back from an older copy: routers that start now are told
+  /// which targets were gone before.
+  auto TellGone(const std::set<TargetId>& aTargets, Instant aNow) -> void;
   /// Sends what has gathered for other routers on requests and runs.
   auto SendPlacements(const PlacementOutbox& aOutbox) -> void;
   /// The configuration is new. One that was read at its source is told to the
--- /dev/null
+++ b/src/process/forwarding/store_epoch.cpp
@@ -0,0 +1,23 @@
+#include "process/forwarding/store_epoch.h"
+
+namespace burdockring {
+
+auto StoreEpoch::Note(std::optional<std::int64_t> aEpoch) -> EpochOrder
+{
+  if (!aEpoch || aEpoch == newest_) {
+    return EpochOrder::kCurrent;
+  }
+  if (newest_ && *aEpoch < *newest_) {
+    return EpochOrder::kOlder;
+  }
+  const bool isFirst = !newest_;
+  newest_ = aEpoch;
+  return isFirst ? EpochOrder::kCurrent : EpochOrder::kNewer;
+}
+
+auto StoreEpoch::Newest() const -> std::optional<std::int64_t>
+{
+  return newest_;
+}
+
+} // namespace burdockring
--- a/src/process/forwarding/target_directory.cpp
+++ b/src/process/forwarding/target_directory.cpp
@@ -15,12 +15,32 @@
 auto TargetDirectory::Erase(std::map<std::string, Entry>::iterator aEntry)
   -> void
 {
-  Note(aEntry->second.target_, "gone");
-  keys_.erase(aEntry->second.target_.id_);
+  const auto& target = aEntry->second.target_;
+  Note(target, "gone");
+  Remember(target.leaving_ ? &left_ : &gone_, target.id_);
+  keys_.erase(target.id_);
   entries_.erase(aEntry);
 }
 
+auto TargetDirectory::Remember(std::set<TargetId>* aTargets, TargetId aTarget)
+  -> bool
+{
+  if (aTargets->size() >= kMaxLeft) {
+    aTargets->clear();
+  }
+  return aTargets->insert(aTarget).second;
+}
+
 auto TargetDirectory::Put(const std::string& aKey, ListedTarget aTarget) -> void
+{
+  // An incarnation whose registration lapsed has registered again.
+  gone_.erase(aTarget.id_);
+  PutEntry(aKey, std::move(aTarget), false);
+}
+
+auto TargetDirectory::PutEntry(const std::string& aKey,
+                               ListedTarget aTarget,
+                               bool aIsFromList) -> void
 {
   const auto found = entries_.find(aKey);
   if (found != entries_.end() && found->second.target_.id_ != aTarget.id_) {
@@ -38,6 +58,7 @@
   // A target that said it leaves does not come back under the same id.
   aTarget.leaving_ = aTarget.leaving_ || entry.target_.leaving_;
   entry.goneAt_.reset();
+  entry.isFromList_ = aIsFromList;
   keys_[aTarget.id_] = aKey;
   entry.target_ = std::move(aTarget);
 }
@@ -63,10 +84,19 @@
   const std::vector<std::pair<std::string, ListedTarget>>& aAll, Instant aNow)
   -> void
 {
+  const bool distrusts = std::exchange(distrustsList_, false);
   std::set<std::string> listed;
   for (const auto& item : aAll) {
+    const auto& target = item.second;
+    const bool hadEnded =
+      gone_.contains(target.id_) || left_.contains(target.id_);
+    if (distrusts && hadEnded && !keys_.contains(target.id_)) {
+      Note(target, "kept_out");
+      continue;
+    }
     listed.insert(item.first);
-    Put(item.first, item.second);
+    gone_.erase(target.id_);
+    PutEntry(item.first, target, true);
   }
   std::vector<std::string> missing;
   for (const auto& entry : entries_) {
@@ -81,10 +111,7 @@
 
 auto TargetDirectory::MarkLeaving(TargetId aTarget) -> bool
 {
-  if (left_.size() >= kMaxLeft) {
-    left_.clear();
-  }
-  if (!left_.insert(aTarget).second) {
+  if (!Remember(&left_, aTarget)) {
     return false;
   }
   const auto key = keys_.find(aTarget);
@@ -100,6 +127,30 @@
   return isNews;
 }
 
+auto TargetDirectory::OnStoreRestored(Instant aNow) -> void
+{
+  distrustsList_ = true;
+  awaySince_.reset();
+  backSince_ = aNow;
+}
+
+auto TargetDirectory::Gone() const -> const std::set<TargetId>&
+{
+  return gone_;
+}
+
+auto TargetDirectory::MarkGone(TargetId aTarget) -> void
+{
+  const auto key = keys_.find(aTarget);
+  const auto entry =
+    key == keys_.end() ? entries_.end() : entries_.find(key->second);
+  if (entry == entries_.end()) {
+    Remember(&gone_, aTarget);
+  } else if (entry->second.isFromList_) {
+    Erase(entry);
+  }
+}
+
 auto TargetDirectory::SetReachable(bool aReachable, Instant aNow) -> void
 {
   if (!aReachable) {
--- a/src/process/membership/peer_table.h
+++ b/src/process/membership/peer_table.h
@@ -38,6 +38,8 @@
   std::uint16_t operatorPort_ = 0;
   /// Its share of processors, in thousandths of a core; zero: not known.
   int millicores_ = 0;
+  /// The epoch of the store in which it entered itself, if it knew one.
+  std::optional<std::int64_t> storeEpoch_;
 };
 
 struct Peer
--- a/src/wire/gen/peer_types.cpp
+++ b/src/wire/gen/peer_types.cpp
@@ -2793,6 +2793,10 @@
 void LoadReport::__set_leaving(const std::vector<int32_t> & val) {
   this->leaving = val;
 }
+
+void LoadReport::__set_gone(const std::vector<int32_t> & val) {
+  this->gone = val;
+}
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
 {
   obj.printTo(out);
@@ -2949,6 +2953,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->gone.clear();
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->gone.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
+            {
+              xfer += iprot->readI32(this->gone[_i104]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.gone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2969,10 +2993,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<TargetUse> ::const_iterator _iter100;
-    for (_iter100 = this->targets.begin(); _iter100 != this->targets.end(); ++_iter100)
+    std::vector<TargetUse> ::const_iterator _iter105;
+    for (_iter105 = this->targets.begin(); _iter105 != this->targets.end(); ++_iter105)
     {
-      xfer += (*_iter100).write(oprot);
+      xfer += (*_iter105).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2981,10 +3005,10 @@
   xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<AccountUse> ::const_iterator _iter101;
-    for (_iter101 = this->accounts.begin(); _iter101 != this->accounts.end(); ++_iter101)
+    std::vector<AccountUse> ::const_iterator _iter106;
+    for (_iter106 = this->accounts.begin(); _iter106 != this->accounts.end(); ++_iter106)
     {
-      xfer += (*_iter101).write(oprot);
+      xfer += (*_iter106).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3013,10 +3037,10 @@
   xfer += oprot->writeFieldBegin("reads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reads.size()));
-    std::vector<PartRead> ::const_iterator _iter102;
-    for (_iter102 = this->reads.begin(); _iter102 != this->reads.end(); ++_iter102)
+    std::vector<PartRead> ::const_iterator _iter107;
+    for (_iter107 = this->reads.begin(); _iter107 != this->reads.end(); ++_iter107)
     {
-      xfer += (*_iter102).write(oprot);
+      xfer += (*_iter107).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3029,10 +3053,22 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<int32_t> ::const_iterator _iter103;
-    for (_iter103 = this->leaving.begin(); _iter103 != this->leaving.end(); ++_iter103)
+    std::vector<int32_t> ::const_iterator _iter108;
+    for (_iter108 = this->leaving.begin(); _iter108 != this->leaving.end(); ++_iter108)
     {
-      xfer += oprot->writeI32((*_iter103));
+      xfer += oprot->writeI32((*_iter108));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->gone.size()));
+    std::vector<int32_t> ::const_iterator _iter109;
+    for (_iter109 = this->gone.begin(); _iter109 != this->gone.end(); ++_iter109)
+    {
+      xfer += oprot->writeI32((*_iter109));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3055,34 +3091,37 @@
   swap(a.reads, b.reads);
   swap(a.partial, b.partial);
   swap(a.leaving, b.leaving);
+  swap(a.gone, b.gone);
   swap(a.__isset, b.__isset);
 }
 
-LoadReport::LoadReport(const LoadReport& other104) {
-  targets = other104.targets;
-  accounts = other104.accounts;
-  configVersion = other104.configVersion;
-  configAgeMicros = other104.configAgeMicros;
-  stampMicros = other104.stampMicros;
-  echoMicros = other104.echoMicros;
-  pressed = other104.pressed;
-  reads = other104.reads;
-  partial = other104.partial;
-  leaving = other104.leaving;
-  __isset = other104.__isset;
-}
-LoadReport& LoadReport::operator=(const LoadReport& other105) {
-  targets = other105.targets;
-  accounts = other105.accounts;
-  configVersion = other105.configVersion;
-  configAgeMicros = other105.configAgeMicros;
-  stampMicros = other105.stampMicros;
-  echoMicros = other105.echoMicros;
-  pressed = other105.pressed;
-  reads = other105.reads;
-  partial = other105.partial;
-  leaving = other105.leaving;
-  __isset = other105.__isset;
+LoadReport::LoadReport(const LoadReport& other110) {
+  targets = other110.targets;
+  accounts = other110.accounts;
+  configVersion = other110.configVersion;
+  configAgeMicros = other110.configAgeMicros;
+  stampMicros = other110.stampMicros;
+  echoMicros = other110.echoMicros;
+  pressed = other110.pressed;
+  reads = other110.reads;
+  partial = other110.partial;
+  leaving = other110.leaving;
+  gone = other110.gone;
+  __isset = other110.__isset;
+}
+LoadReport& LoadReport::operator=(const LoadReport& other111) {
+  targets = other111.targets;
+  accounts = other111.accounts;
+  configVersion = other111.configVersion;
+  configAgeMicros = other111.configAgeMicros;
+  stampMicros = other111.stampMicros;
+  echoMicros = other111.echoMicros;
+  pressed = other111.pressed;
+  reads = other111.reads;
+  partial = other111.partial;
+  leaving = other111.leaving;
+  gone = other111.gone;
+  __isset = other111.__isset;
   return *this;
 }
 void LoadReport::printTo(std::ostream& out) const {
@@ -3098,6 +3137,7 @@
   out << ", " << "reads=" << to_string(reads);
   out << ", " << "partial=" << to_string(partial);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "gone=" << to_string(gone);
   out << ")";
 }
 
@@ -3265,14 +3305,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->partTokens.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->partTokens.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->partTokens.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += iprot->readI32(this->partTokens[_i110]);
+              xfer += iprot->readI32(this->partTokens[_i116]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3285,14 +3325,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tried.clear();
-            uint32_t _size111;
-            ::apache::thrift::protocol::TType _etype114;
-            xfer += iprot->readListBegin(_etype114, _size111);
-            this->tried.resize(_size111);
-            uint32_t _i115;
-            for (_i115 = 0; _i115 < _size111; ++_i115)
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->tried.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
             {
-              xfer += iprot->readI32(this->tried[_i115]);
+              xfer += iprot->readI32(this->tried[_i121]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3361,10 +3401,10 @@
   xfer += oprot->writeFieldBegin("partTokens", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->partTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter116;
-    for (_iter116 = this->partTokens.begin(); _iter116 != this->partTokens.end(); ++_iter116)
+    std::vector<int32_t> ::const_iterator _iter122;
+    for (_iter122 = this->partTokens.begin(); _iter122 != this->partTokens.end(); ++_iter122)
     {
-      xfer += oprot->writeI32((*_iter116));
+      xfer += oprot->writeI32((*_iter122));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3373,10 +3413,10 @@
   xfer += oprot->writeFieldBegin("tried", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->tried.size()));
-    std::vector<int32_t> ::const_iterator _iter117;
-    for (_iter117 = this->tried.begin(); _iter117 != this->tried.end(); ++_iter117)
+    std::vector<int32_t> ::const_iterator _iter123;
+    for (_iter123 = this->tried.begin(); _iter123 != this->tried.end(); ++_iter123)
     {
-      xfer += oprot->writeI32((*_iter117));
+      xfer += oprot->writeI32((*_iter123));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3404,35 +3444,35 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAsk::PlaceAsk(const PlaceAsk& other118) {
-  request = other118.request;
-  serviceId = other118.serviceId;
-  account = other118.account;
-  aimMicros = other118.aimMicros;
-  waitedMicros = other118.waitedMicros;
-  patienceMicros = other118.patienceMicros;
-  goesOn = other118.goesOn;
-  promptTokens = other118.promptTokens;
-  outputTokens = other118.outputTokens;
-  parts = other118.parts;
-  partTokens = other118.partTokens;
-  tried = other118.tried;
-  __isset = other118.__isset;
-}
-PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other119) {
-  request = other119.request;
-  serviceId = other119.serviceId;
-  account = other119.account;
-  aimMicros = other119.aimMicros;
-  waitedMicros = other119.waitedMicros;
-  patienceMicros = other119.patienceMicros;
-  goesOn = other119.goesOn;
-  promptTokens = other119.promptTokens;
-  outputTokens = other119.outputTokens;
-  parts = other119.parts;
-  partTokens = other119.partTokens;
-  tried = other119.tried;
-  __isset = other119.__isset;
+PlaceAsk::PlaceAsk(const PlaceAsk& other124) {
+  request = other124.request;
+  serviceId = other124.serviceId;
+  account = other124.account;
+  aimMicros = other124.aimMicros;
+  waitedMicros = other124.waitedMicros;
+  patienceMicros = other124.patienceMicros;
+  goesOn = other124.goesOn;
+  promptTokens = other124.promptTokens;
+  outputTokens = other124.outputTokens;
+  parts = other124.parts;
+  partTokens = other124.partTokens;
+  tried = other124.tried;
+  __isset = other124.__isset;
+}
+PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other125) {
+  request = other125.request;
+  serviceId = other125.serviceId;
+  account = other125.account;
+  aimMicros = other125.aimMicros;
+  waitedMicros = other125.waitedMicros;
+  patienceMicros = other125.patienceMicros;
+  goesOn = other125.goesOn;
+  promptTokens = other125.promptTokens;
+  outputTokens = other125.outputTokens;
+  parts = other125.parts;
+  partTokens = other125.partTokens;
+  tried = other125.tried;
+  __isset = other125.__isset;
   return *this;
 }
 void PlaceAsk::printTo(std::ostream& out) const {
@@ -3682,31 +3722,31 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAnswer::PlaceAnswer(const PlaceAnswer& other120) noexcept {
-  request = other120.request;
-  outcome = other120.outcome;
-  target = other120.target;
-  copyFrom = other120.copyFrom;
-  expectedWaitMicros = other120.expectedWaitMicros;
-  reason = other120.reason;
-  retryAfterMicros = other120.retryAfterMicros;
-  prefillTokens = other120.prefillTokens;
-  memoryTokens = other120.memoryTokens;
-  standing = other120.standing;
-  __isset = other120.__isset;
-}
-PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other121) noexcept {
-  request = other121.request;
-  outcome = other121.outcome;
-  target = other121.target;
-  copyFrom = other121.copyFrom;
-  expectedWaitMicros = other121.expectedWaitMicros;
-  reason = other121.reason;
-  retryAfterMicros = other121.retryAfterMicros;
-  prefillTokens = other121.prefillTokens;
-  memoryTokens = other121.memoryTokens;
-  standing = other121.standing;
-  __isset = other121.__isset;
+PlaceAnswer::PlaceAnswer(const PlaceAnswer& other126) noexcept {
+  request = other126.request;
+  outcome = other126.outcome;
+  target = other126.target;
+  copyFrom = other126.copyFrom;
+  expectedWaitMicros = other126.expectedWaitMicros;
+  reason = other126.reason;
+  retryAfterMicros = other126.retryAfterMicros;
+  prefillTokens = other126.prefillTokens;
+  memoryTokens = other126.memoryTokens;
+  standing = other126.standing;
+  __isset = other126.__isset;
+}
+PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other127) noexcept {
+  request = other127.request;
+  outcome = other127.outcome;
+  target = other127.target;
+  copyFrom = other127.copyFrom;
+  expectedWaitMicros = other127.expectedWaitMicros;
+  reason = other127.reason;
+  retryAfterMicros = other127.retryAfterMicros;
+  prefillTokens = other127.prefillTokens;
+  memoryTokens = other127.memoryTokens;
+  standing = other127.standing;
+  __isset = other127.__isset;
   return *this;
 }
 void PlaceAnswer::printTo(std::ostream& out) const {
@@ -3835,17 +3875,17 @@
   swap(a.__isset, b.__isset);
 }
 
-RunNote::RunNote(const RunNote& other122) noexcept {
-  request = other122.request;
-  event = other122.event;
-  restMicros = other122.restMicros;
-  __isset = other122.__isset;
+RunNote::RunNote(const RunNote& other128) noexcept {
+  request = other128.request;
+  event = other128.event;
+  restMicros = other128.restMicros;
+  __isset = other128.__isset;
 }
-RunNote& RunNote::operator=(const RunNote& other123) noexcept {
-  request = other123.request;
-  event = other123.event;
-  restMicros = other123.restMicros;
-  __isset = other123.__isset;
+RunNote& RunNote::operator=(const RunNote& other129) noexcept {
+  request = other129.request;
+  event = other129.event;
+  restMicros = other129.restMicros;
+  __isset = other129.__isset;
   return *this;
 }
 void RunNote::printTo(std::ostream& out) const {
@@ -4001,21 +4041,21 @@
   swap(a.__isset, b.__isset);
 }
 
-RunRow::RunRow(const RunRow& other124) noexcept {
-  request = other124.request;
-  target = other124.target;
-  prefillTokens = other124.prefillTokens;
-  memoryTokens = other124.memoryTokens;
-  begun = other124.begun;
-  __isset = other124.__isset;
-}
-RunRow& RunRow::operator=(const RunRow& other125) noexcept {
-  request = other125.request;
-  target = other125.target;
-  prefillTokens = other125.prefillTokens;
-  memoryTokens = other125.memoryTokens;
-  begun = other125.begun;
-  __isset = other125.__isset;
+RunRow::RunRow(const RunRow& other130) noexcept {
+  request = other130.request;
+  target = other130.target;
+  prefillTokens = other130.prefillTokens;
+  memoryTokens = other130.memoryTokens;
+  begun = other130.begun;
+  __isset = other130.__isset;
+}
+RunRow& RunRow::operator=(const RunRow& other131) noexcept {
+  request = other131.request;
+  target = other131.target;
+  prefillTokens = other131.prefillTokens;
+  memoryTokens = other131.memoryTokens;
+  begun = other131.begun;
+  __isset = other131.__isset;
   return *this;
 }
 void RunRow::printTo(std::ostream& out) const {
@@ -4085,14 +4125,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->asks.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->asks.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
             {
-              xfer += this->asks[_i130].read(iprot);
+              xfer += this->asks[_i136].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4105,14 +4145,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size131;
-            ::apache::thrift::protocol::TType _etype134;
-            xfer += iprot->readListBegin(_etype134, _size131);
-            this->answers.resize(_size131);
-            uint32_t _i135;
-            for (_i135 = 0; _i135 < _size131; ++_i135)
+            uint32_t _size137;
+            ::apache::thrift::protocol::TType _etype140;
+            xfer += iprot->readListBegin(_etype140, _size137);
+            this->answers.resize(_size137);
+            uint32_t _i141;
+            for (_i141 = 0; _i141 < _size137; ++_i141)
             {
-              xfer += this->answers[_i135].read(iprot);
+              xfer += this->answers[_i141].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4125,14 +4165,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->notes.clear();
-            uint32_t _size136;
-            ::apache::thrift::protocol::TType _etype139;
-            xfer += iprot->readListBegin(_etype139, _size136);
-            this->notes.resize(_size136);
-            uint32_t _i140;
-            for (_i140 = 0; _i140 < _size136; ++_i140)
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->notes.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
             {
-              xfer += this->notes[_i140].read(iprot);
+              xfer += this->notes[_i146].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4153,14 +4193,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size141;
-            ::apache::thrift::protocol::TType _etype144;
-            xfer += iprot->readListBegin(_etype144, _size141);
-            this->runs.resize(_size141);
-            uint32_t _i145;
-            for (_i145 = 0; _i145 < _size141; ++_i145)
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _etype150;
+            xfer += iprot->readListBegin(_etype150, _size147);
+            this->runs.resize(_size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
             {
-              xfer += this->runs[_i145].read(iprot);
+              xfer += this->runs[_i151].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4189,10 +4229,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<PlaceAsk> ::const_iterator _iter146;
-    for (_iter146 = this->asks.begin(); _iter146 != this->asks.end(); ++_iter146)
+    std::vector<PlaceAsk> ::const_iterator _iter152;
+    for (_iter152 = this->asks.begin(); _iter152 != this->asks.end(); ++_iter152)
     {
-      xfer += (*_iter146).write(oprot);
+      xfer += (*_iter152).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4201,10 +4241,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<PlaceAnswer> ::const_iterator _iter147;
-    for (_iter147 = this->answers.begin(); _iter147 != this->answers.end(); ++_iter147)
+    std::vector<PlaceAnswer> ::const_iterator _iter153;
+    for (_iter153 = this->answers.begin(); _iter153 != this->answers.end(); ++_iter153)
     {
-      xfer += (*_iter147).write(oprot);
+      xfer += (*_iter153).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4213,10 +4253,10 @@
   xfer += oprot->writeFieldBegin("notes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notes.size()));
-    std::vector<RunNote> ::const_iterator _iter148;
-    for (_iter148 = this->notes.begin(); _iter148 != this->notes.end(); ++_iter148)
+    std::vector<RunNote> ::const_iterator _iter154;
+    for (_iter154 = this->notes.begin(); _iter154 != this->notes.end(); ++_iter154)
     {
-      xfer += (*_iter148).write(oprot);
+      xfer += (*_iter154).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4229,10 +4269,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<RunRow> ::const_iterator _iter149;
-    for (_iter149 = this->runs.begin(); _iter149 != this->runs.end(); ++_iter149)
+    std::vector<RunRow> ::const_iterator _iter155;
+    for (_iter155 = this->runs.begin(); _iter155 != this->runs.end(); ++_iter155)
     {
-      xfer += (*_iter149).write(oprot);
+      xfer += (*_iter155).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4253,21 +4293,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Placement::Placement(const Placement& other150) {
-  asks = other150.asks;
-  answers = other150.answers;
-  notes = other150.notes;
-  whole = other150.whole;
-  runs = other150.runs;
-  __isset = other150.__isset;
-}
-Placement& Placement::operator=(const Placement& other151) {
-  asks = other151.asks;
-  answers = other151.answers;
-  notes = other151.notes;
-  whole = other151.whole;
-  runs = other151.runs;
-  __isset = other151.__isset;
+Placement::Placement(const Placement& other156) {
+  asks = other156.asks;
+  answers = other156.answers;
+  notes = other156.notes;
+  whole = other156.whole;
+  runs = other156.runs;
+  __isset = other156.__isset;
+}
+Placement& Placement::operator=(const Placement& other157) {
+  asks = other157.asks;
+  answers = other157.answers;
+  notes = other157.notes;
+  whole = other157.whole;
+  runs = other157.runs;
+  __isset = other157.__isset;
   return *this;
 }
 void Placement::printTo(std::ostream& out) const {
@@ -4305,6 +4345,11 @@
 void ListNews::__set_batch(const std::string& val) {
   this->batch = val;
 }
+
+void ListNews::__set_storeEpoch(const int64_t val) {
+  this->storeEpoch = val;
+__isset.storeEpoch = true;
+}
 std::ostream& operator<<(std::ostream& out, const ListNews& obj)
 {
   obj.printTo(out);
@@ -4373,6 +4418,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeEpoch);
+          this->__isset.storeEpoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4410,6 +4463,11 @@
   xfer += oprot->writeBinary(this->batch);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.storeEpoch) {
+    xfer += oprot->writeFieldBegin("storeEpoch", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->storeEpoch);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4422,24 +4480,27 @@
   swap(a.toOffset, b.toOffset);
   swap(a.reachable, b.reachable);
   swap(a.batch, b.batch);
+  swap(a.storeEpoch, b.storeEpoch);
   swap(a.__isset, b.__isset);
 }
 
-ListNews::ListNews(const ListNews& other152) {
-  sharedList = other152.sharedList;
-  fromOffset = other152.fromOffset;
-  toOffset = other152.toOffset;
-  reachable = other152.reachable;
-  batch = other152.batch;
-  __isset = other152.__isset;
-}
-ListNews& ListNews::operator=(const ListNews& other153) {
-  sharedList = other153.sharedList;
-  fromOffset = other153.fromOffset;
-  toOffset = other153.toOffset;
-  reachable = other153.reachable;
-  batch = other153.batch;
-  __isset = other153.__isset;
+ListNews::ListNews(const ListNews& other158) {
+  sharedList = other158.sharedList;
+  fromOffset = other158.fromOffset;
+  toOffset = other158.toOffset;
+  reachable = other158.reachable;
+  batch = other158.batch;
+  storeEpoch = other158.storeEpoch;
+  __isset = other158.__isset;
+}
+ListNews& ListNews::operator=(const ListNews& other159) {
+  sharedList = other159.sharedList;
+  fromOffset = other159.fromOffset;
+  toOffset = other159.toOffset;
+  reachable = other159.reachable;
+  batch = other159.batch;
+  storeEpoch = other159.storeEpoch;
+  __isset = other159.__isset;
   return *this;
 }
 void ListNews::printTo(std::ostream& out) const {
@@ -4450,6 +4511,7 @@
   out << ", " << "toOffset=" << to_string(toOffset);
   out << ", " << "reachable=" << to_string(reachable);
   out << ", " << "batch=" << to_string(batch);
+  out << ", " << "storeEpoch="; (__isset.storeEpoch ? (out << to_string(storeEpoch)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4509,14 +4571,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size154;
-            ::apache::thrift::protocol::TType _etype157;
-            xfer += iprot->readListBegin(_etype157, _size154);
-            this->waiting.resize(_size154);
-            uint32_t _i158;
-            for (_i158 = 0; _i158 < _size154; ++_i158)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->waiting.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              xfer += iprot->readI32(this->waiting[_i158]);
+              xfer += iprot->readI32(this->waiting[_i164]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4529,14 +4591,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->charged.clear();
-            uint32_t _size159;
-            ::apache::thrift::protocol::TType _etype162;
-            xfer += iprot->readListBegin(_etype162, _size159);
-            this->charged.resize(_size159);
-            uint32_t _i163;
-            for (_i163 = 0; _i163 < _size159; ++_i163)
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->charged.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
             {
-              xfer += iprot->readI64(this->charged[_i163]);
+              xfer += iprot->readI64(this->charged[_i169]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4569,10 +4631,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<int32_t> ::const_iterator _iter164;
-    for (_iter164 = this->waiting.begin(); _iter164 != this->waiting.end(); ++_iter164)
+    std::vector<int32_t> ::const_iterator _iter170;
+    for (_iter170 = this->waiting.begin(); _iter170 != this->waiting.end(); ++_iter170)
     {
-      xfer += oprot->writeI32((*_iter164));
+      xfer += oprot->writeI32((*_iter170));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4581,10 +4643,10 @@
   xfer += oprot->writeFieldBegin("charged", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->charged.size()));
-    std::vector<int64_t> ::const_iterator _iter165;
-    for (_iter165 = this->charged.begin(); _iter165 != this->charged.end(); ++_iter165)
+    std::vector<int64_t> ::const_iterator _iter171;
+    for (_iter171 = this->charged.begin(); _iter171 != this->charged.end(); ++_iter171)
     {
-      xfer += oprot->writeI64((*_iter165));
+      xfer += oprot->writeI64((*_iter171));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4603,17 +4665,17 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandColumns::DemandColumns(const DemandColumns& other166) {
-  accounts = other166.accounts;
-  waiting = other166.waiting;
-  charged = other166.charged;
-  __isset = other166.__isset;
+DemandColumns::DemandColumns(const DemandColumns& other172) {
+  accounts = other172.accounts;
+  waiting = other172.waiting;
+  charged = other172.charged;
+  __isset = other172.__isset;
 }
-DemandColumns& DemandColumns::operator=(const DemandColumns& other167) {
-  accounts = other167.accounts;
-  waiting = other167.waiting;
-  charged = other167.charged;
-  __isset = other167.__isset;
+DemandColumns& DemandColumns::operator=(const DemandColumns& other173) {
+  accounts = other173.accounts;
+  waiting = other173.waiting;
+  charged = other173.charged;
+  __isset = other173.__isset;
   return *this;
 }
 void DemandColumns::printTo(std::ostream& out) const {
@@ -4681,14 +4743,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->held.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size174;
+            ::apache::thrift::protocol::TType _etype177;
+            xfer += iprot->readListBegin(_etype177, _size174);
+            this->held.resize(_size174);
+            uint32_t _i178;
+            for (_i178 = 0; _i178 < _size174; ++_i178)
             {
-              xfer += iprot->readI32(this->held[_i172]);
+              xfer += iprot->readI32(this->held[_i178]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4701,14 +4763,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->idle.clear();
-            uint32_t _size173;
-            ::apache::thrift::protocol::TType _etype176;
-            xfer += iprot->readListBegin(_etype176, _size173);
-            this->idle.resize(_size173);
-            uint32_t _i177;
-            for (_i177 = 0; _i177 < _size173; ++_i177)
+            uint32_t _size179;
+            ::apache::thrift::protocol::TType _etype182;
+            xfer += iprot->readListBegin(_etype182, _size179);
+            this->idle.resize(_size179);
+            uint32_t _i183;
+            for (_i183 = 0; _i183 < _size179; ++_i183)
             {
-              xfer += iprot->readI32(this->idle[_i177]);
+              xfer += iprot->readI32(this->idle[_i183]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4741,10 +4803,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->held.size()));
-    std::vector<int32_t> ::const_iterator _iter178;
-    for (_iter178 = this->held.begin(); _iter178 != this->held.end(); ++_iter178)
+    std::vector<int32_t> ::const_iterator _iter184;
+    for (_iter184 = this->held.begin(); _iter184 != this->held.end(); ++_iter184)
     {
-      xfer += oprot->writeI32((*_iter178));
+      xfer += oprot->writeI32((*_iter184));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4753,10 +4815,10 @@
   xfer += oprot->writeFieldBegin("idle", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->idle.size()));
-    std::vector<int32_t> ::const_iterator _iter179;
-    for (_iter179 = this->idle.begin(); _iter179 != this->idle.end(); ++_iter179)
+    std::vector<int32_t> ::const_iterator _iter185;
+    for (_iter185 = this->idle.begin(); _iter185 != this->idle.end(); ++_iter185)
     {
-      xfer += oprot->writeI32((*_iter179));
+      xfer += oprot->writeI32((*_iter185));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4775,17 +4837,17 @@
   swap(a.__isset, b.__isset);
 }
 
-HeldColumns::HeldColumns(const HeldColumns& other180) {
-  targets = other180.targets;
-  held = other180.held;
-  idle = other180.idle;
-  __isset = other180.__isset;
+HeldColumns::HeldColumns(const HeldColumns& other186) {
+  targets = other186.targets;
+  held = other186.held;
+  idle = other186.idle;
+  __isset = other186.__isset;
 }
-HeldColumns& HeldColumns::operator=(const HeldColumns& other181) {
-  targets = other181.targets;
-  held = other181.held;
-  idle = other181.idle;
-  __isset = other181.__isset;
+HeldColumns& HeldColumns::operator=(const HeldColumns& other187) {
+  targets = other187.targets;
+  held = other187.held;
+  idle = other187.idle;
+  __isset = other187.__isset;
   return *this;
 }
 void HeldColumns::printTo(std::ostream& out) const {
@@ -4853,14 +4915,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size182;
-            ::apache::thrift::protocol::TType _etype185;
-            xfer += iprot->readListBegin(_etype185, _size182);
-            this->counts.resize(_size182);
-            uint32_t _i186;
-            for (_i186 = 0; _i186 < _size182; ++_i186)
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->counts.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
             {
-              xfer += iprot->readI32(this->counts[_i186]);
+              xfer += iprot->readI32(this->counts[_i192]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4901,10 +4963,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
-    std::vector<int32_t> ::const_iterator _iter187;
-    for (_iter187 = this->counts.begin(); _iter187 != this->counts.end(); ++_iter187)
+    std::vector<int32_t> ::const_iterator _iter193;
+    for (_iter193 = this->counts.begin(); _iter193 != this->counts.end(); ++_iter193)
     {
-      xfer += oprot->writeI32((*_iter187));
+      xfer += oprot->writeI32((*_iter193));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4927,17 +4989,17 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantColumns::GrantColumns(const GrantColumns& other188) {
-  targets = other188.targets;
-  counts = other188.counts;
-  accounts = other188.accounts;
-  __isset = other188.__isset;
+GrantColumns::GrantColumns(const GrantColumns& other194) {
+  targets = other194.targets;
+  counts = other194.counts;
+  accounts = other194.accounts;
+  __isset = other194.__isset;
 }
-GrantColumns& GrantColumns::operator=(const GrantColumns& other189) {
-  targets = other189.targets;
-  counts = other189.counts;
-  accounts = other189.accounts;
-  __isset = other189.__isset;
+GrantColumns& GrantColumns::operator=(const GrantColumns& other195) {
+  targets = other195.targets;
+  counts = other195.counts;
+  accounts = other195.accounts;
+  __isset = other195.__isset;
   return *this;
 }
 void GrantColumns::printTo(std::ostream& out) const {
@@ -5001,14 +5063,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tags.clear();
-            uint32_t _size190;
-            ::apache::thrift::protocol::TType _etype193;
-            xfer += iprot->readListBegin(_etype193, _size190);
-            this->tags.resize(_size190);
-            uint32_t _i194;
-            for (_i194 = 0; _i194 < _size190; ++_i194)
+            uint32_t _size196;
+            ::apache::thrift::protocol::TType _etype199;
+            xfer += iprot->readListBegin(_etype199, _size196);
+            this->tags.resize(_size196);
+            uint32_t _i200;
+            for (_i200 = 0; _i200 < _size196; ++_i200)
             {
-              xfer += iprot->readI64(this->tags[_i194]);
+              xfer += iprot->readI64(this->tags[_i200]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5041,10 +5103,10 @@
   xfer += oprot->writeFieldBegin("tags", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tags.size()));
-    std::vector<int64_t> ::const_iterator _iter195;
-    for (_iter195 = this->tags.begin(); _iter195 != this->tags.end(); ++_iter195)
+    std::vector<int64_t> ::const_iterator _iter201;
+    for (_iter201 = this->tags.begin(); _iter201 != this->tags.end(); ++_iter201)
     {
-      xfer += oprot->writeI64((*_iter195));
+      xfer += oprot->writeI64((*_iter201));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5062,15 +5124,15 @@
   swap(a.__isset, b.__isset);
 }
 
-TagColumns::TagColumns(const TagColumns& other196) {
-  accounts = other196.accounts;
-  tags = other196.tags;
-  __isset = other196.__isset;
+TagColumns::TagColumns(const TagColumns& other202) {
+  accounts = other202.accounts;
+  tags = other202.tags;
+  __isset = other202.__isset;
 }
-TagColumns& TagColumns::operator=(const TagColumns& other197) {
-  accounts = other197.accounts;
-  tags = other197.tags;
-  __isset = other197.__isset;
+TagColumns& TagColumns::operator=(const TagColumns& other203) {
+  accounts = other203.accounts;
+  tags = other203.tags;
+  __isset = other203.__isset;
   return *this;
 }
 void TagColumns::printTo(std::ostream& out) const {
@@ -5137,14 +5199,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->charged.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->charged.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->charged.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += iprot->readI64(this->charged[_i202]);
+              xfer += iprot->readI64(this->charged[_i208]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5157,14 +5219,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tags.clear();
-            uint32_t _size203;
-            ::apache::thrift::protocol::TType _etype206;
-            xfer += iprot->readListBegin(_etype206, _size203);
-            this->tags.resize(_size203);
-            uint32_t _i207;
-            for (_i207 = 0; _i207 < _size203; ++_i207)
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->tags.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
             {
-              xfer += iprot->readI64(this->tags[_i207]);
+              xfer += iprot->readI64(this->tags[_i213]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5197,10 +5259,10 @@
   xfer += oprot->writeFieldBegin("charged", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->charged.size()));
-    std::vector<int64_t> ::const_iterator _iter208;
-    for (_iter208 = this->charged.begin(); _iter208 != this->charged.end(); ++_iter208)
+    std::vector<int64_t> ::const_iterator _iter214;
+    for (_iter214 = this->charged.begin(); _iter214 != this->charged.end(); ++_iter214)
     {
-      xfer += oprot->writeI64((*_iter208));
+      xfer += oprot->writeI64((*_iter214));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5209,10 +5271,10 @@
   xfer += oprot->writeFieldBegin("tags", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tags.size()));
-    std::vector<int64_t> ::const_iterator _iter209;
-    for (_iter209 = this->tags.begin(); _iter209 != this->tags.end(); ++_iter209)
+    std::vector<int64_t> ::const_iterator _iter215;
+    for (_iter215 = this->tags.begin(); _iter215 != this->tags.end(); ++_iter215)
     {
-      xfer += oprot->writeI64((*_iter209));
+      xfer += oprot->writeI64((*_iter215));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5231,17 +5293,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ExchangeColumns::ExchangeColumns(const ExchangeColumns& other210) {
-  accounts = other210.accounts;
-  charged = other210.charged;
-  tags = other210.tags;
-  __isset = other210.__isset;
+ExchangeColumns::ExchangeColumns(const ExchangeColumns& other216) {
+  accounts = other216.accounts;
+  charged = other216.charged;
+  tags = other216.tags;
+  __isset = other216.__isset;
 }
-ExchangeColumns& ExchangeColumns::operator=(const ExchangeColumns& other211) {
-  accounts = other211.accounts;
-  charged = other211.charged;
-  tags = other211.tags;
-  __isset = other211.__isset;
+ExchangeColumns& ExchangeColumns::operator=(const ExchangeColumns& other217) {
+  accounts = other217.accounts;
+  charged = other217.charged;
+  tags = other217.tags;
+  __isset = other217.__isset;
   return *this;
 }
 void ExchangeColumns::printTo(std::ostream& out) const {
@@ -5313,14 +5375,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefillTokens.clear();
-            uint32_t _size212;
-            ::apache::thrift::protocol::TType _etype215;
-            xfer += iprot->readListBegin(_etype215, _size212);
-            this->prefillTokens.resize(_size212);
-            uint32_t _i216;
-            for (_i216 = 0; _i216 < _size212; ++_i216)
+            uint32_t _size218;
+            ::apache::thrift::protocol::TType _etype221;
+            xfer += iprot->readListBegin(_etype221, _size218);
+            this->prefillTokens.resize(_size218);
+            uint32_t _i222;
+            for (_i222 = 0; _i222 < _size218; ++_i222)
             {
-              xfer += iprot->readI32(this->prefillTokens[_i216]);
+              xfer += iprot->readI32(this->prefillTokens[_i222]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5333,14 +5395,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size217;
-            ::apache::thrift::protocol::TType _etype220;
-            xfer += iprot->readListBegin(_etype220, _size217);
-            this->running.resize(_size217);
-            uint32_t _i221;
-            for (_i221 = 0; _i221 < _size217; ++_i221)
+            uint32_t _size223;
+            ::apache::thrift::protocol::TType _etype226;
+            xfer += iprot->readListBegin(_etype226, _size223);
+            this->running.resize(_size223);
+            uint32_t _i227;
+            for (_i227 = 0; _i227 < _size223; ++_i227)
             {
-              xfer += iprot->readI32(this->running[_i221]);
+              xfer += iprot->readI32(this->running[_i227]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5353,14 +5415,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memoryTokens.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->memoryTokens.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
+            uint32_t _size228;
+            ::apache::thrift::protocol::TType _etype231;
+            xfer += iprot->readListBegin(_etype231, _size228);
+            this->memoryTokens.resize(_size228);
+            uint32_t _i232;
+            for (_i232 = 0; _i232 < _size228; ++_i232)
             {
-              xfer += iprot->readI32(this->memoryTokens[_i226]);
+              xfer += iprot->readI32(this->memoryTokens[_i232]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5393,10 +5455,10 @@
   xfer += oprot->writeFieldBegin("prefillTokens", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->prefillTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter227;
-    for (_iter227 = this->prefillTokens.begin(); _iter227 != this->prefillTokens.end(); ++_iter227)
+    std::vector<int32_t> ::const_iterator _iter233;
+    for (_iter233 = this->prefillTokens.begin(); _iter233 != this->prefillTokens.end(); ++_iter233)
     {
-      xfer += oprot->writeI32((*_iter227));
+      xfer += oprot->writeI32((*_iter233));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5405,10 +5467,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
-    std::vector<int32_t> ::const_iterator _iter228;
-    for (_iter228 = this->running.begin(); _iter228 != this->running.end(); ++_iter228)
+    std::vector<int32_t> ::const_iterator _iter234;
+    for (_iter234 = this->running.begin(); _iter234 != this->running.end(); ++_iter234)
     {
-      xfer += oprot->writeI32((*_iter228));
+      xfer += oprot->writeI32((*_iter234));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5417,10 +5479,10 @@
   xfer += oprot->writeFieldBegin("memoryTokens", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->memoryTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter229;
-    for (_iter229 = this->memoryTokens.begin(); _iter229 != this->memoryTokens.end(); ++_iter229)
+    std::vector<int32_t> ::const_iterator _iter235;
+    for (_iter235 = this->memoryTokens.begin(); _iter235 != this->memoryTokens.end(); ++_iter235)
     {
-      xfer += oprot->writeI32((*_iter229));
+      xfer += oprot->writeI32((*_iter235));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5440,19 +5502,19 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetUseColumns::TargetUseColumns(const TargetUseColumns& other230) {
-  targets = other230.targets;
-  prefillTokens = other230.prefillTokens;
-  running = other230.running;
-  memoryTokens = other230.memoryTokens;
-  __isset = other230.__isset;
+TargetUseColumns::TargetUseColumns(const TargetUseColumns& other236) {
+  targets = other236.targets;
+  prefillTokens = other236.prefillTokens;
+  running = other236.running;
+  memoryTokens = other236.memoryTokens;
+  __isset = other236.__isset;
 }
-TargetUseColumns& TargetUseColumns::operator=(const TargetUseColumns& other231) {
-  targets = other231.targets;
-  prefillTokens = other231.prefillTokens;
-  running = other231.running;
-  memoryTokens = other231.memoryTokens;
-  __isset = other231.__isset;
+TargetUseColumns& TargetUseColumns::operator=(const TargetUseColumns& other237) {
+  targets = other237.targets;
+  prefillTokens = other237.prefillTokens;
+  running = other237.running;
+  memoryTokens = other237.memoryTokens;
+  __isset = other237.__isset;
   return *this;
 }
 void TargetUseColumns::printTo(std::ostream& out) const {
@@ -5521,14 +5583,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->askedTokens.clear();
-            uint32_t _size232;
-            ::apache::thrift::protocol::TType _etype235;
-            xfer += iprot->readListBegin(_etype235, _size232);
-            this->askedTokens.resize(_size232);
-            uint32_t _i236;
-            for (_i236 = 0; _i236 < _size232; ++_i236)
+            uint32_t _size238;
+            ::apache::thrift::protocol::TType _etype241;
+            xfer += iprot->readListBegin(_etype241, _size238);
+            this->askedTokens.resize(_size238);
+            uint32_t _i242;
+            for (_i242 = 0; _i242 < _size238; ++_i242)
             {
-              xfer += iprot->readI64(this->askedTokens[_i236]);
+              xfer += iprot->readI64(this->askedTokens[_i242]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5541,14 +5603,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->givenTokens.clear();
-            uint32_t _size237;
-            ::apache::thrift::protocol::TType _etype240;
-            xfer += iprot->readListBegin(_etype240, _size237);
-            this->givenTokens.resize(_size237);
-            uint32_t _i241;
-            for (_i241 = 0; _i241 < _size237; ++_i241)
+            uint32_t _size243;
+            ::apache::thrift::protocol::TType _etype246;
+            xfer += iprot->readListBegin(_etype246, _size243);
+            this->givenTokens.resize(_size243);
+            uint32_t _i247;
+            for (_i247 = 0; _i247 < _size243; ++_i247)
             {
-              xfer += iprot->readI64(this->givenTokens[_i241]);
+              xfer += iprot->readI64(this->givenTokens[_i247]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5581,10 +5643,10 @@
   xfer += oprot->writeFieldBegin("askedTokens", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->askedTokens.size()));
-    std::vector<int64_t> ::const_iterator _iter242;
-    for (_iter242 = this->askedTokens.begin(); _iter242 != this->askedTokens.end(); ++_iter242)
+    std::vector<int64_t> ::const_iterator _iter248;
+    for (_iter248 = this->askedTokens.begin(); _iter248 != this->askedTokens.end(); ++_iter248)
     {
-      xfer += oprot->writeI64((*_iter242));
+      xfer += oprot->writeI64((*_iter248));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5593,10 +5655,10 @@
   xfer += oprot->writeFieldBegin("givenTokens", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->givenTokens.size()));
-    std::vector<int64_t> ::const_iterator _iter243;
-    for (_iter243 = this->givenTokens.begin(); _iter243 != this->givenTokens.end(); ++_iter243)
+    std::vector<int64_t> ::const_iterator _iter249;
+    for (_iter249 = this->givenTokens.begin(); _iter249 != this->givenTokens.end(); ++_iter249)
     {
-      xfer += oprot->writeI64((*_iter243));
+      xfer += oprot->writeI64((*_iter249));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5615,17 +5677,17 @@
   swap(a.__isset, b.__isset);
 }
 
-AccountUseColumns::AccountUseColumns(const AccountUseColumns& other244) {
-  accounts = other244.accounts;
-  askedTokens = other244.askedTokens;
-  givenTokens = other244.givenTokens;
-  __isset = other244.__isset;
+AccountUseColumns::AccountUseColumns(const AccountUseColumns& other250) {
+  accounts = other250.accounts;
+  askedTokens = other250.askedTokens;
+  givenTokens = other250.givenTokens;
+  __isset = other250.__isset;
 }
-AccountUseColumns& AccountUseColumns::operator=(const AccountUseColumns& other245) {
-  accounts = other245.accounts;
-  askedTokens = other245.askedTokens;
-  givenTokens = other245.givenTokens;
-  __isset = other245.__isset;
+AccountUseColumns& AccountUseColumns::operator=(const AccountUseColumns& other251) {
+  accounts = other251.accounts;
+  askedTokens = other251.askedTokens;
+  givenTokens = other251.givenTokens;
+  __isset = other251.__isset;
   return *this;
 }
 void AccountUseColumns::printTo(std::ostream& out) const {
@@ -5730,15 +5792,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PartReadColumns::PartReadColumns(const PartReadColumns& other246) {
-  targets = other246.targets;
-  parts = other246.parts;
-  __isset = other246.__isset;
+PartReadColumns::PartReadColumns(const PartReadColumns& other252) {
+  targets = other252.targets;
+  parts = other252.parts;
+  __isset = other252.__isset;
 }
-PartReadColumns& PartReadColumns::operator=(const PartReadColumns& other247) {
-  targets = other247.targets;
-  parts = other247.parts;
-  __isset = other247.__isset;
+PartReadColumns& PartReadColumns::operator=(const PartReadColumns& other253) {
+  targets = other253.targets;
+  parts = other253.parts;
+  __isset = other253.__isset;
   return *this;
 }
 void PartReadColumns::printTo(std::ostream& out) const {
@@ -5960,27 +6022,27 @@
   swap(a.__isset, b.__isset);
 }
 
-RowColumns::RowColumns(const RowColumns& other248) {
-  demand = other248.demand;
-  held = other248.held;
-  grants = other248.grants;
-  tags = other248.tags;
-  exchange = other248.exchange;
-  targets = other248.targets;
-  accounts = other248.accounts;
-  reads = other248.reads;
-  __isset = other248.__isset;
-}
-RowColumns& RowColumns::operator=(const RowColumns& other249) {
-  demand = other249.demand;
-  held = other249.held;
-  grants = other249.grants;
-  tags = other249.tags;
-  exchange = other249.exchange;
-  targets = other249.targets;
-  accounts = other249.accounts;
-  reads = other249.reads;
-  __isset = other249.__isset;
+RowColumns::RowColumns(const RowColumns& other254) {
+  demand = other254.demand;
+  held = other254.held;
+  grants = other254.grants;
+  tags = other254.tags;
+  exchange = other254.exchange;
+  targets = other254.targets;
+  accounts = other254.accounts;
+  reads = other254.reads;
+  __isset = other254.__isset;
+}
+RowColumns& RowColumns::operator=(const RowColumns& other255) {
+  demand = other255.demand;
+  held = other255.held;
+  grants = other255.grants;
+  tags = other255.tags;
+  exchange = other255.exchange;
+  targets = other255.targets;
+  accounts = other255.accounts;
+  reads = other255.reads;
+  __isset = other255.__isset;
   return *this;
 }
 void RowColumns::printTo(std::ostream& out) const {
@@ -6280,35 +6342,35 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other250) {
-  sender = other250.sender;
-  incarnation = other250.incarnation;
-  heartbeat = other250.heartbeat;
-  demand = other250.demand;
-  grants = other250.grants;
-  exchange = other250.exchange;
-  configOffer = other250.configOffer;
-  configRequest = other250.configRequest;
-  load = other250.load;
-  listNews = other250.listNews;
-  columns = other250.columns;
-  placement = other250.placement;
-  __isset = other250.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other251) {
-  sender = other251.sender;
-  incarnation = other251.incarnation;
-  heartbeat = other251.heartbeat;
-  demand = other251.demand;
-  grants = other251.grants;
-  exchange = other251.exchange;
-  configOffer = other251.configOffer;
-  configRequest = other251.configRequest;
-  load = other251.load;
-  listNews = other251.listNews;
-  columns = other251.columns;
-  placement = other251.placement;
-  __isset = other251.__isset;
+Envelope::Envelope(const Envelope& other256) {
+  sender = other256.sender;
+  incarnation = other256.incarnation;
+  heartbeat = other256.heartbeat;
+  demand = other256.demand;
+  grants = other256.grants;
+  exchange = other256.exchange;
+  configOffer = other256.configOffer;
+  configRequest = other256.configRequest;
+  load = other256.load;
+  listNews = other256.listNews;
+  columns = other256.columns;
+  placement = other256.placement;
+  __isset = other256.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other257) {
+  sender = other257.sender;
+  incarnation = other257.incarnation;
+  heartbeat = other257.heartbeat;
+  demand = other257.demand;
+  grants = other257.grants;
+  exchange = other257.exchange;
+  configOffer = other257.configOffer;
+  configRequest = other257.configRequest;
+  load = other257.load;
+  listNews = other257.listNews;
+  columns = other257.columns;
+  placement = other257.placement;
+  __isset = other257.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen/peer_types.h
+++ b/src/wire/gen/peer_types.h
@@ -1157,7 +1157,7 @@
 std::ostream& operator<<(std::ostream& out, const PartRead& obj);
 
 typedef struct _LoadReport__isset {
-  _LoadReport__isset() : targets(false), accounts(false), configVersion(false), configAgeMicros(false), stampMicros(false), echoMicros(false), pressed(false), reads(false), partial(false), leaving(false) {}
+  _LoadReport__isset() : targets(false), accounts(false), configVersion(false), configAgeMicros(false), stampMicros(false), echoMicros(false), pressed(false), reads(false), partial(false), leaving(false), gone(false) {}
   bool targets :1;
   bool accounts :1;
   bool configVersion :1;
@@ -1168,6 +1168,7 @@
   bool reads :1;
   bool partial :1;
   bool leaving :1;
+  bool gone :1;
 } _LoadReport__isset;
 
 class LoadReport : public virtual ::apache::thrift::TBase {
@@ -1195,6 +1196,7 @@
   std::vector<PartRead>  reads;
   bool partial;
   std::vector<int32_t>  leaving;
+  std::vector<int32_t>  gone;
 
   _LoadReport__isset __isset;
 
@@ -1218,6 +1220,8 @@
 
   void __set_leaving(const std::vector<int32_t> & val);
 
+  void __set_gone(const std::vector<int32_t> & val);
+
   bool operator == (const LoadReport & rhs) const
   {
     if (!(targets == rhs.targets))
@@ -1240,6 +1244,8 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (!(gone == rhs.gone))
+      return false;
     return true;
   }
   bool operator != (const LoadReport &rhs) const {
@@ -1678,12 +1684,13 @@
 std::ostream& operator<<(std::ostream& out, const Placement& obj);
 
 typedef struct _ListNews__isset {
-  _ListNews__isset() : sharedList(false), fromOffset(false), toOffset(false), reachable(false), batch(false) {}
+  _ListNews__isset() : sharedList(false), fromOffset(false), toOffset(false), reachable(false), batch(false), storeEpoch(false) {}
   bool sharedList :1;
   bool fromOffset :1;
   bool toOffset :1;
   bool reachable :1;
   bool batch :1;
+  bool storeEpoch :1;
 } _ListNews__isset;
 
 class ListNews : public virtual ::apache::thrift::TBase {
@@ -1696,7 +1703,8 @@
              fromOffset(0),
              toOffset(0),
              reachable(0),
-             batch() {
+             batch(),
+             storeEpoch(0) {
   }
 
   virtual ~ListNews() noexcept;
@@ -1705,6 +1713,7 @@
   int64_t toOffset;
   bool reachable;
   std::string batch;
+  int64_t storeEpoch;
 
   _ListNews__isset __isset;
 
@@ -1718,6 +1727,8 @@
 
   void __set_batch(const std::string& val);
 
+  void __set_storeEpoch(const int64_t val);
+
   bool operator == (const ListNews & rhs) const
   {
     if (!(sharedList == rhs.sharedList))
@@ -1730,6 +1741,10 @@
       return false;
     if (!(batch == rhs.batch))
       return false;
+    if (__isset.storeEpoch != rhs.__isset.storeEpoch)
+      return false;
+    else if (__isset.storeEpoch && !(storeEpoch == rhs.storeEpoch))
+      return false;
     return true;
   }
   bool operator != (const ListNews &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -137,6 +137,8 @@
   9: bool partial
   // Targets that said of themselves that they leave.
   10: list<i32> leaving
+  // Targets that were gone before the store came back from an older copy.
+  11: list<i32> gone
 }
 
 // Asks a lead of the zone where a request may run. Numbers of requests are the
@@ -213,6 +215,8 @@
   3: i64 toOffset
   4: bool reachable
   5: binary batch
+  // The epoch of the store in which the offsets count, where it is known.
+  6: optional i64 storeEpoch
 }
 
 // Rows of the messages as columns, which take no header for each field. Ids
