End what engines send without end: heads, trailers, events, refusals, whole bodies

Cause: an engine's bytes may come without end until the caller closes. With fifty such answers at once the landed router grew to 346 MB (a chunk's header), 336 MB (a trailer) and 179 MB (a body), where its VM has 160 to 512 MB, and a caller whose request had not run was told so only at its deadline. Change: bounds on what is not parsed yet, on what is read past before an answer, on one event, on a refusal's body (told at once, the connection closed) and on what is gathered before it is passed on as it comes (256 KB, 4 MB before). Seen: on the landed program EndlessAnswerTest fails in ChunkHeader, Trailer and Body, and EndlessRefusalTest; all ten pass with the change. Ruled out: heads without end were bounded already (64 KB).

--- a/src/connection/event_splitter.cpp
+++ b/src/connection/event_splitter.cpp
@@ -35,8 +35,12 @@
 
 auto EventSplitter::Take(std::string aBytes) -> std::string
 {
+  // Only the new bytes and the one before them can hold a new end.
+  const auto searched = rest_.empty() ? 0 : rest_.size() - 1;
   rest_ += aBytes;
-  const auto end = rest_.rfind(kEventEnd);
+  const auto found = std::string_view(rest_).substr(searched).rfind(kEventEnd);
+  const auto end = found == std::string_view::npos ? std::string::npos
+                                                   : searched + found;
   if (end == std::string::npos) {
     return {};
   }
@@ -46,6 +50,11 @@
   return whole;
 }
 
+auto EventSplitter::IsTooLong() const -> bool
+{
+  return rest_.size() > kMaxEventBytes;
+}
+
 auto EventSplitter::DropRest() -> std::string
 {
   return std::exchange(rest_, {});
--- a/src/connection/exchange.cpp
+++ b/src/connection/exchange.cpp
@@ -162,6 +162,17 @@
   port_->Settle();
 }
 
+auto Exchange::EndRefusal() -> void
+{
+  if (connection_) {
+    connection_->Cancel();
+    connection_.reset();
+  }
+  mode_ = Mode::kNone;
+  port_->Node().OnAttemptRefused(id_, attempt_, BootNow());
+  port_->Settle();
+}
+
 auto Exchange::RecordTiming(int aStatus, bool aWhole) -> void
 {
   const auto now = BootNow();
@@ -210,6 +221,7 @@
   attempt_ = aEffect.attempt_;
   mode_ = Mode::kNone;
   gathered_.clear();
+  refusalBytes_ = 0;
   events_.DropRest();
   connection_ =
     port_->Targets().Send(aEffect, RequestText(aEffect), weak_from_this());
@@ -320,7 +332,13 @@
   }
   switch (mode_) {
     case Mode::kNone:
+      return;
     case Mode::kRefused:
+      refusalBytes_ += aBody.size();
+      if (refusalBytes_ > kMaxRefusal) {
+        // What it says is known; its end is not worth a wait.
+        EndRefusal();
+      }
       return;
     case Mode::kGather:
       gathered_ += aBody;
@@ -337,6 +355,10 @@
       break;
   }
   auto whole = events_.Take(std::move(aBody));
+  if (events_.IsTooLong()) {
+    Fail("an event without end");
+    return;
+  }
   if (whole.empty()) {
     return;
   }
@@ -353,12 +375,11 @@
     return;
   }
   connection_.reset();
-  auto& node = port_->Node();
   if (mode_ == Mode::kRefused) {
-    node.OnAttemptRefused(id_, attempt_, BootNow());
-    port_->Settle();
+    EndRefusal();
     return;
   }
+  auto& node = port_->Node();
   if (mode_ == Mode::kEvents) {
     Forward(events_.DropRest());
   }
@@ -379,13 +400,12 @@
     return;
   }
   connection_.reset();
-  auto& node = port_->Node();
   if (mode_ == Mode::kRefused) {
-    node.OnAttemptRefused(id_, attempt_, BootNow());
-  } else {
-    mode_ = Mode::kNone;
-    node.OnAttemptFailed(id_, attempt_, aStage, aCause, BootNow());
+    EndRefusal();
+    return;
   }
+  mode_ = Mode::kNone;
+  port_->Node().OnAttemptFailed(id_, attempt_, aStage, aCause, BootNow());
   port_->Settle();
 }
 
--- a/src/connection/exchange.h
+++ b/src/connection/exchange.h
@@ -75,7 +75,9 @@
   , public std::enable_shared_from_this<Exchange>
 {
   /// Answers longer than this are passed on as they come.
-  static constexpr std::size_t kMaxGathered = 4U << 20U;
+  static constexpr std::size_t kMaxGathered = 256U << 10U;
+  /// Most of a refusal's body that is awaited.
+  static constexpr std::size_t kMaxRefusal = 64U << 10U;
 
   enum class Mode
   {
@@ -99,6 +101,7 @@
   Mode mode_ = Mode::kNone;
   MessageHead answer_;
   std::string gathered_;
+  std::size_t refusalBytes_ = 0;
   EventSplitter events_;
   bool begun_ = false;
   bool firstByteSeen_ = false;
@@ -119,6 +122,8 @@
   auto EndAnswer() -> void;
   auto NoteFirstByte() -> void;
   auto Fail(std::string_view aCause) -> void;
+  /// The target did not run the request; nothing more is read from it.
+  auto EndRefusal() -> void;
   auto RecordTiming(int aStatus, bool aWhole) -> void;
 
 public:
--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -100,7 +100,7 @@
 {
   while (state_ == State::kBusy && reader_ && !inbound_.empty()) {
     const auto error = reader_->Put(&inbound_);
-    if (error) {
+    if (error || inbound_.size() > kMaxUnparsed) {
       Break("bytes that are no answer");
       return;
     }
@@ -118,6 +118,11 @@
     if (state_ != State::kBusy) {
       return;
     }
+    skippedBytes_ += skipping_ ? body.size() : 0;
+    if (skippedBytes_ > kMaxSkippedBytes || skippedHeads_ > kMaxSkippedHeads) {
+      Break("no end of what comes before the answer");
+      return;
+    }
     if (!reader_->is_done()) {
       return;
     }
@@ -159,6 +164,7 @@
 {
   if (skipping_) {
     skipping_ = false;
+    ++skippedHeads_;
     reader_.emplace(kHeaderLimit, UINT64_MAX);
     return;
   }
@@ -263,6 +269,8 @@
   reader_.emplace(kHeaderLimit, UINT64_MAX);
   answering_ = false;
   skipping_ = false;
+  skippedBytes_ = 0;
+  skippedHeads_ = 0;
   sent_ = false;
   if (state_ != State::kIdle) {
     return;
--- a/src/connection/target_connection.h
+++ b/src/connection/target_connection.h
@@ -59,6 +59,11 @@
 private:
   static constexpr std::size_t kReadBytes = 16U << 10U;
   static constexpr std::uint32_t kHeaderLimit = 64U << 10U;
+  /// Bytes that may wait for the end of a chunk's header or of the trailer.
+  static constexpr std::size_t kMaxUnparsed = 64U << 10U;
+  /// Bytes that are read past before an answer, and heads that promise one.
+  static constexpr std::size_t kMaxSkippedBytes = 256U << 10U;
+  static constexpr int kMaxSkippedHeads = 16;
 
   boost::asio::ip::tcp::socket socket_;
   Endpoint endpoint_;
@@ -75,6 +80,9 @@
   bool reading_ = false;
   bool answering_ = false;
   bool skipping_ = false;
+  /// Bytes of bodies, and heads, that were read past for this attempt.
+  std::size_t skippedBytes_ = 0;
+  int skippedHeads_ = 0;
   bool paused_ = false;
   bool mayKeep_ = true;
   Instant since_{};
--- a/src/standin/child_process.cpp
+++ b/src/standin/child_process.cpp
@@ -83,6 +83,11 @@
   return id_ != 0;
 }
 
+auto ChildProcess::Id() const -> pid_t
+{
+  return id_;
+}
+
 auto ChildProcess::ExitCode() const -> int
 {
   return exitCode_;
--- a/src/standin/child_process.h
+++ b/src/standin/child_process.h
@@ -34,6 +34,8 @@
   auto Signal(int aSignal) -> void;
   /// Whether it runs, paused or not.
   auto IsRunning() -> bool;
+  /// Its id in the system.
+  [[nodiscard]] auto Id() const -> pid_t;
   /// The code that it ended with, or -1.
   [[nodiscard]] auto ExitCode() const -> int;
 };
--- a/src/standin/scripted_target.cpp
+++ b/src/standin/scripted_target.cpp
@@ -69,11 +69,13 @@
     const auto answer = TakeAnswer(buffer.substr(0, length));
     buffer.erase(0, length);
     co_await asio::async_write(aSocket, asio::buffer(answer.bytes_), token());
-    for (const auto& piece : answer.later_) {
-      asio::steady_timer timer(context_, answer.pause_);
-      co_await timer.async_wait(token());
-      co_await asio::async_write(aSocket, asio::buffer(piece), token());
-    }
+    do {
+      for (const auto& piece : answer.later_) {
+        asio::steady_timer timer(context_, answer.pause_);
+        co_await timer.async_wait(token());
+        co_await asio::async_write(aSocket, asio::buffer(piece), token());
+      }
+    } while (answer.endless_ && !error);
     if (answer.reset_) {
       aSocket.set_option(asio::socket_base::linger(true, 0), error);
     }
--- a/src/standin/scripted_target.h
+++ b/src/standin/scripted_target.h
@@ -27,6 +27,8 @@
   Duration pause_{};
   /// Whether the connection's end is a reset.
   bool reset_ = false;
+  /// Whether the later bytes come again and again until the caller closes.
+  bool endless_ = false;
 };
 
 /// A target that answers each request by a script, byte for byte, one
