Believe an echo of this life of the router only, and no wild numbers of a peer

Cause: looking for what hit similar systems. A router that lost power starts with another clock; a peer that does not hear it goes on echoing the stamp of its former life, which may lie ahead of the new clock. The configuration then counted as confirmed in the future, and a withdrawn key would have run for as long. Sums of garbled loads could overflow. Change: the echo names the life that it belongs to and must not lie ahead; ages and loads of peers are bounded. An older binary's reports confirm nothing at a newer one.

--- a/src/process/forwarding/account_shares.cpp
+++ b/src/process/forwarding/account_shares.cpp
@@ -18,6 +18,10 @@
   StandingRow{ ShareStanding::kBeyond, "beyond" },
 };
 
+/// More tokens than any router handles in a window; garbled counts stay within
+/// it.
+constexpr std::int64_t kMostOfPeer = 1'000'000'000'000;
+
 } // namespace
 
 auto ShareStandingName(ShareStanding aStanding) -> std::string_view
@@ -167,7 +171,12 @@
     peer.accounts_.clear();
   }
   for (const auto& use : aAccounts) {
-    peer.accounts_[use.account] = use;
+    auto& known = peer.accounts_[use.account];
+    known = use;
+    known.askedTokens =
+      std::clamp<std::int64_t>(use.askedTokens, 0, kMostOfPeer);
+    known.givenTokens =
+      std::clamp<std::int64_t>(use.givenTokens, 0, kMostOfPeer);
   }
 }
 
--- a/src/process/forwarding/peer_exchange.cpp
+++ b/src/process/forwarding/peer_exchange.cpp
@@ -155,8 +155,10 @@
   bare.load.leaving.clear();
   bare.load.partial = true;
   const auto send = [&](const Peer& aPeer, wire::Envelope& aReport) {
-    const auto stamp = stamps_.find(aPeer.address_.id_);
-    aReport.load.echoMicros = stamp == stamps_.end() ? 0 : stamp->second;
+    const auto found = stamps_.find(aPeer.address_.id_);
+    const auto stamp = found == stamps_.end() ? Stamp() : found->second;
+    aReport.load.echoMicros = stamp.micros_;
+    aReport.load.echoIncarnation = stamp.incarnation_;
     SendTo(aPeer.address_, aReport);
   };
   // Who is no lead and has placed nothing itself has only its own zone's leads
@@ -185,6 +187,7 @@
 }
 
 auto PeerExchange::OnLoadReport(RouterId aFrom,
+                                std::int64_t aIncarnation,
                                 const wire::LoadReport& aReport,
                                 Instant aNow) -> void
 {
@@ -192,20 +195,33 @@
   if (aReport.stampMicros == 0) {
     return;
   }
-  stamps_[aFrom] = aReport.stampMicros;
-  const auto have = config_->Table()->Version();
-  // The peer's age counts from when it sent, which was after it had read the
-  // stamp that it echoes; so the echo is the earliest that its word holds for.
-  const Instant asOf =
-    Instant(aReport.echoMicros) - Duration(aReport.configAgeMicros);
-  if (aReport.echoMicros > 0 && aReport.configVersion == have) {
-    config_->Confirm(asOf);
-  }
-  if (aReport.configVersion > have) {
+  stamps_[aFrom] = { aReport.stampMicros, aIncarnation };
+  TakeConfigAge(aReport, aNow);
+  if (aReport.configVersion > config_->Table()->Version()) {
     AskForConfiguration(aFrom, aNow);
   }
 }
 
+auto PeerExchange::TakeConfigAge(const wire::LoadReport& aReport, Instant aNow)
+  -> void
+{
+  // A peer that does not hear this life of the router echoes one before, whose
+  // clock may have been ahead.
+  const bool isOwn = aReport.echoIncarnation == incarnation_ &&
+                     aReport.echoMicros > 0 &&
+                     aReport.echoMicros <= aNow.count();
+  const bool isAge =
+    aReport.configAgeMicros >= 0 && aReport.configAgeMicros <= kOldest.count();
+  if (!isOwn || !isAge ||
+      aReport.configVersion != config_->Table()->Version()) {
+    return;
+  }
+  // The peer's age counts from when it sent, which was after it had read the
+  // stamp that it echoes; so the echo is the earliest that its word holds for.
+  config_->Confirm(Instant(aReport.echoMicros) -
+                   Duration(aReport.configAgeMicros));
+}
+
 auto PeerExchange::AskForConfiguration(RouterId aFrom, Instant aNow) -> void
 {
   if (!newerSince_) {
@@ -359,13 +375,17 @@
                            ConfigInForceState* aConfig,
                            Dispatcher* aDispatcher,
                            EventLog* aLog,
-                           ForwardingEffects* aEffects)
+                           ForwardingEffects* aEffects,
+                           const ForwardingPolicy& aPolicy)
   : incarnation_(aIncarnation)
   , config_(aConfig)
   , dispatcher_(aDispatcher)
   , log_(aLog)
   , effects_(aEffects)
-  , peers_(std::move(aSelf), aIncarnation, kMostLeads)
+  , policy_(aPolicy)
+  , peers_(std::move(aSelf),
+           aIncarnation,
+           aPolicy.Has(Mechanism::kLeads) ? kMostLeads : kAllAreLeads)
 {
 }
 
@@ -382,7 +402,7 @@
     peers_.OnHeartbeat(from, aEnvelope.incarnation, aEnvelope.heartbeat, aNow);
   }
   if (aEnvelope.__isset.load) {
-    OnLoadReport(from, aEnvelope.load, aNow);
+    OnLoadReport(from, aEnvelope.incarnation, aEnvelope.load, aNow);
   }
   if (aEnvelope.__isset.configRequest) {
     OfferConfiguration(from, aEnvelope.configRequest.haveVersion);
@@ -459,7 +479,7 @@
 auto PeerExchange::TimeToRead(SharedList aList, bool aFirst, Instant aNow)
   -> Duration
 {
-  const int rank = RankFor(aList);
+  const int rank = policy_.Has(Mechanism::kReadTurns) ? RankFor(aList) : 0;
   if (aFirst) {
     return turns_.TimeToFirstRead(aList, rank, aNow);
   }
--- a/src/process/forwarding/peer_exchange.h
+++ b/src/process/forwarding/peer_exchange.h
@@ -29,6 +29,8 @@
   /// Leads of the whole fleet, which know the load at every target. Each
   /// hears all others, so their number bounds how old that knowledge is.
   static constexpr int kMostLeads = 12;
+  /// All routers, where a few are not to place for the others.
+  static constexpr int kAllAreLeads = 1 << 20;
   /// Shortest time between two reports of a load that has changed: a report
   /// that is older than the reading of a prompt misleads.
   static constexpr Duration kReportInterval = 12ms;
@@ -53,6 +55,8 @@
   /// return, and of how many at the most.
   static constexpr Duration kGoneTime = 4s;
   static constexpr std::size_t kMaxGoneTold = 4000;
+  /// A configuration that was confirmed longer ago is of no use.
+  static constexpr Duration kOldest = 1h;
   /// How many reports tell of a target that leaves.
   static constexpr int kLeavingRepeats = 3;
 
@@ -61,10 +65,19 @@
   Dispatcher* dispatcher_;
   EventLog* log_;
   ForwardingEffects* effects_;
+  ForwardingPolicy policy_;
   PeerTable peers_;
   ReadTurns turns_;
+  /// A reading of a peer's clock, and which life of the peer made it: another
+  /// may have another clock.
+  struct Stamp
+  {
+    std::int64_t micros_ = 0;
+    std::int64_t incarnation_ = 0;
+  };
+
   /// The last stamp heard of each peer, to be echoed.
-  std::map<RouterId, std::int64_t> stamps_;
+  std::map<RouterId, Stamp> stamps_;
   Instant lastReport_{};
   Instant lastStampedReport_{};
   bool announces_ = false;
@@ -99,8 +112,11 @@
   auto SendToAll(const std::vector<RouterPlace>& aRouters,
                  wire::Envelope aEnvelope) -> void;
   auto OnLoadReport(RouterId aFrom,
+                    std::int64_t aIncarnation,
                     const wire::LoadReport& aReport,
                     Instant aNow) -> void;
+  /// Takes a peer's word on the age of the configuration.
+  auto TakeConfigAge(const wire::LoadReport& aReport, Instant aNow) -> void;
   auto AskForConfiguration(RouterId aFrom, Instant aNow) -> void;
   auto OfferConfiguration(RouterId aTo, std::int64_t aHave) -> void;
   /// Takes a piece; the configuration is adopted once all have come.
@@ -120,7 +136,8 @@
                ConfigInForceState* aConfig,
                Dispatcher* aDispatcher,
                EventLog* aLog,
-               ForwardingEffects* aEffects);
+               ForwardingEffects* aEffects,
+               const ForwardingPolicy& aPolicy = {});
 
   auto SetListed(const std::vector<RouterAddress>& aRouters, Instant aNow)
     -> void;
--- a/src/wire/gen/peer_types.cpp
+++ b/src/wire/gen/peer_types.cpp
@@ -2797,6 +2797,10 @@
 void LoadReport::__set_gone(const std::vector<int32_t> & val) {
   this->gone = val;
 }
+
+void LoadReport::__set_echoIncarnation(const int64_t val) {
+  this->echoIncarnation = val;
+}
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
 {
   obj.printTo(out);
@@ -2973,6 +2977,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->echoIncarnation);
+          this->__isset.echoIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3074,6 +3086,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("echoIncarnation", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->echoIncarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3092,6 +3108,7 @@
   swap(a.partial, b.partial);
   swap(a.leaving, b.leaving);
   swap(a.gone, b.gone);
+  swap(a.echoIncarnation, b.echoIncarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -3107,6 +3124,7 @@
   partial = other110.partial;
   leaving = other110.leaving;
   gone = other110.gone;
+  echoIncarnation = other110.echoIncarnation;
   __isset = other110.__isset;
 }
 LoadReport& LoadReport::operator=(const LoadReport& other111) {
@@ -3121,6 +3139,7 @@
   partial = other111.partial;
   leaving = other111.leaving;
   gone = other111.gone;
+  echoIncarnation = other111.echoIncarnation;
   __isset = other111.__isset;
   return *this;
 }
@@ -3138,6 +3157,7 @@
   out << ", " << "partial=" << to_string(partial);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "gone=" << to_string(gone);
+  out << ", " << "echoIncarnation=" << to_string(echoIncarnation);
   out << ")";
 }
 
--- a/src/wire/gen/peer_types.h
+++ b/src/wire/gen/peer_types.h
@@ -1157,7 +1157,7 @@
 std::ostream& operator<<(std::ostream& out, const PartRead& obj);
 
 typedef struct _LoadReport__isset {
-  _LoadReport__isset() : targets(false), accounts(false), configVersion(false), configAgeMicros(false), stampMicros(false), echoMicros(false), pressed(false), reads(false), partial(false), leaving(false), gone(false) {}
+  _LoadReport__isset() : targets(false), accounts(false), configVersion(false), configAgeMicros(false), stampMicros(false), echoMicros(false), pressed(false), reads(false), partial(false), leaving(false), gone(false), echoIncarnation(false) {}
   bool targets :1;
   bool accounts :1;
   bool configVersion :1;
@@ -1169,6 +1169,7 @@
   bool partial :1;
   bool leaving :1;
   bool gone :1;
+  bool echoIncarnation :1;
 } _LoadReport__isset;
 
 class LoadReport : public virtual ::apache::thrift::TBase {
@@ -1182,7 +1183,8 @@
                stampMicros(0),
                echoMicros(0),
                pressed(0),
-               partial(0) {
+               partial(0),
+               echoIncarnation(0) {
   }
 
   virtual ~LoadReport() noexcept;
@@ -1197,6 +1199,7 @@
   bool partial;
   std::vector<int32_t>  leaving;
   std::vector<int32_t>  gone;
+  int64_t echoIncarnation;
 
   _LoadReport__isset __isset;
 
@@ -1222,6 +1225,8 @@
 
   void __set_gone(const std::vector<int32_t> & val);
 
+  void __set_echoIncarnation(const int64_t val);
+
   bool operator == (const LoadReport & rhs) const
   {
     if (!(targets == rhs.targets))
@@ -1246,6 +1251,8 @@
       return false;
     if (!(gone == rhs.gone))
       return false;
+    if (!(echoIncarnation == rhs.echoIncarnation))
+      return false;
     return true;
   }
   bool operator != (const LoadReport &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -139,6 +139,8 @@
   10: list<i32> leaving
   // Targets that were gone before the store came back from an older copy.
   11: list<i32> gone
+  // Which life of the receiver sent the stamp that is echoed.
+  12: i64 echoIncarnation
 }
 
 // Asks a lead of the zone where a request may run. Numbers of requests are the
--- a/tests/main/forward_command_test.cpp
+++ b/tests/main/forward_command_test.cpp
@@ -120,6 +120,55 @@
   EXPECT_EQ(answer.find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
+TEST_F(ForwardCommandTest, SlowStreamThatIsSoundComesWhole)
+{
+  SetScripts([](const std::string& aRequest) {
+    ScriptedAnswer answer{ GoodStreamHead(RequestIdOf(aRequest)), true };
+    for (int i = 1; i <= 6; ++i) {
+      answer.later_.push_back("id: " + std::to_string(i) + "\ndata: x\n\n");
+    }
+    answer.pause_ = 350ms;
+    return answer;
+  });
+  const auto answer = Ask("/talk/x", "b", "X-Deadline-Ms: 10000\r\n");
+  EXPECT_NE(answer.find("id: 6\ndata: x\n\n"), std::string::npos);
+  EXPECT_TRUE(answer.ends_with("0\r\n\r\n"));
+}
+
+TEST_F(ForwardCommandTest, StreamThatDripsWithoutAnEventEndsAtItsDeadline)
+{
+  SetScripts([](const std::string& aRequest) {
+    ScriptedAnswer answer{
+      GoodStreamHead(RequestIdOf(aRequest)) + "id: 1", true, { "1" }, 20ms
+    };
+    answer.endless_ = true;
+    return answer;
+  });
+  const auto began = std::chrono::steady_clock::now();
+  const auto answer = Ask("/talk/x", "b", "X-Deadline-Ms: 1200\r\n");
+  EXPECT_EQ(Status(answer), "504");
+  EXPECT_LT(std::chrono::steady_clock::now() - began, 5s);
+}
+
+TEST_F(ForwardCommandTest, SecondCopyOfAnAnswerMeetsNoOtherRequest)
+{
+  // The copy comes late, when the connection may serve the next caller.
+  SetScripts([](const std::string& aRequest) {
+    const auto whole = GoodHead(RequestIdOf(aRequest), 2) + "a1";
+    return ScriptedAnswer{ whole, false, { whole }, 15ms };
+  });
+  for (int i = 0; i < 20; ++i) {
+    const auto id = "n" + std::to_string(i);
+    const auto answer = SendRaw(
+      kCallerPort, "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + id +
+                     "\r\nConnection: close\r\n"
+                     "Content-Length: 0\r\n\r\n");
+    EXPECT_EQ(Status(answer), "200");
+    EXPECT_EQ(RawField(answer, "X-Attempt-Id"), id);
+    std::this_thread::sleep_for(std::chrono::milliseconds(i));
+  }
+}
+
 TEST_F(ForwardCommandTest, AnswerToAnotherRequestIsPassedOver)
 {
   SetScripts([](const std::string& aRequest) {
--- a/tests/process/forwarding/forwarding_node_test.cpp
+++ b/tests/process/forwarding/forwarding_node_test.cpp
@@ -233,6 +233,7 @@
   envelope.load.configVersion = 5;
   envelope.load.configAgeMicros = 500'000;
   envelope.load.stampMicros = 1;
+  envelope.load.echoIncarnation = 1;
   envelope.load.echoMicros = Duration(6s).count();
   // However late it is read: it holds as of the echo less the age.
   node_->OnPeer(envelope, 9s);
