Limits at engines as parts of the shortest aim; times of a token and a first event learned

Hypothesis: the limits of what waits at an engine were one site's milliseconds, and its reading speed stood in the code; as parts of the shortest aim, with both times learned by service, they serve unlike engines as well and ours no worse.

--- a/src/main/command_forward.cpp
+++ b/src/main/command_forward.cpp
@@ -2,6 +2,7 @@
 #include "main/command_table.h"
 #include "main/flags.h"
 #include "main/forwarding_process.h"
+#include "main/policy_reader.h"
 
 #include <cstdlib>
 #include <iostream>
@@ -12,6 +13,16 @@
 /// Names the settings file where no flag does.
 constexpr const char* kSettingsVariable = "BURDOCKRING_SETTINGS";
 
+auto ReadPolicyFile(const std::string& aPath, FindingList* aFindings)
+  -> std::optional<ForwardingPolicy>
+{
+  if (aPath.empty()) {
+    return ForwardingPolicy();
+  }
+  const auto text = ReadTextFile(aPath, aFindings);
+  return text ? ReadPolicy(*text, aPath, aFindings) : std::nullopt;
+}
+
 } // namespace
 
 auto RunForward(const CommandArguments& aArguments) -> ExitCode
@@ -30,10 +41,12 @@
   const auto text = ReadTextFile(path, &findings);
   auto settings =
     text ? ReadProcessSettings(*text, path, &findings) : std::nullopt;
+  const auto policy = ReadPolicyFile(FLAGS_policy, &findings);
   std::cerr << findings.ToText();
-  if (!settings) {
+  if (!settings || !policy) {
     return ExitCode::kFailed;
   }
+  settings->forwarding_.policy_ = *policy;
   ForwardingProcess process(std::move(*settings), path, *text);
   const auto listening = process.Listen();
   if (!listening.ok()) {
--- a/src/main/command_table.cpp
+++ b/src/main/command_table.cpp
@@ -7,9 +7,9 @@
   static const std::vector<CommandRow> table{
     { "serve", "--settings FILE", "run one router", { "settings" }, RunServe },
     { "forward",
-      "[--settings FILE]",
+      "[--settings FILE] [--policy FILE]",
       "run one router that passes requests on whole, on the platform",
-      { "settings" },
+      { "settings", "policy" },
       RunForward },
     { "check",
       "FILE... [--json]",
--- a/src/main/flags.cpp
+++ b/src/main/flags.cpp
@@ -6,6 +6,7 @@
 #include <gflags/gflags.h>
 
 DEFINE_string(settings, "", "the router's settings file (YAML)");
+DEFINE_string(policy, "", "a policy file (YAML); the usual policy without");
 DEFINE_bool(json, false, "print JSON");
 DEFINE_string(log, "127.0.0.1:17001", "address of the platform's log");
 DEFINE_string(vms, "127.0.0.1:17002", "address of the platform's VM list");
--- a/src/main/flags.h
+++ b/src/main/flags.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 DECLARE_string(settings);
+DECLARE_string(policy);
 DECLARE_bool(json);
 DECLARE_string(log);
 DECLARE_string(vms);
--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -51,9 +51,13 @@
     return found->second;
   }
   auto& targets = targets_[aService];
+  auto& pace = paces_[aService];
   for (const auto* listed : directory_->Usable(aService)) {
-    targets.push_back({ listed, &loads_.At(listed->id_) });
+    auto& load = loads_.At(listed->id_);
+    load.SetUsualPace(&pace);
+    targets.push_back({ listed, &load });
   }
+  pace.SetStart(table_->TokensPerSecond(), static_cast<int>(targets.size()));
   return targets;
 }
 
@@ -61,9 +65,7 @@
   -> std::optional<Duration>
 {
   const auto onTime = Part(aItem.aim_, kOnTimePart);
-  const auto reading = std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double, std::milli>(OwnTokens(aItem) *
-                                              kPromptTokenMs));
+  const auto reading = paces_[aItem.service_].ReadingTime(OwnTokens(aItem));
   // A prompt too long for its aim is served late rather than never.
   if (reading >= onTime) {
     return std::nullopt;
@@ -72,11 +74,21 @@
 }
 
 auto Dispatcher::LimitsFor(const WorkItem& aItem,
+                           const RoutedService& aService,
                            ShareStanding aStanding,
                            Instant aNow) -> PlaceLimits
 {
+  if (!aService.isEngine_) {
+    return {};
+  }
+  const auto& engines = policy_.Engines();
   PlaceLimits limits;
-  limits.maxBacklog_ = kMaxBacklog;
+  limits.shortestAim_ =
+    aService.shortestAim_ > 0us
+      ? std::min<Duration>(aService.shortestAim_, kLongestAim)
+      : Duration(kUsualAim);
+  limits.pace_ = paces_[aItem.service_];
+  limits.maxBacklog_ = Part(limits.shortestAim_, engines.owedBacklog_);
   if (!aItem.goesOn_) {
     limits.maxWait_ = OnTimeWait(aItem, aNow);
   }
@@ -84,11 +96,12 @@
     case ShareStanding::kOwed:
       break;
     case ShareStanding::kFair:
-      limits.maxBacklog_ = std::min<Duration>(limits.maxBacklog_, kFairBacklog);
+      limits.maxBacklog_ = Part(limits.shortestAim_, engines.fairBacklog_);
       break;
     case ShareStanding::kBeyond:
       limits.maxBacklog_ =
-        IsPressed(aNow) ? kPressedBacklog : kOverShareBacklog;
+        Part(limits.shortestAim_, IsPressed(aNow) ? engines.pressedBacklog_
+                                                  : engines.beyondBacklog_);
       limits.maxSlotUse_ = IsPressed(aNow) ? kPressedSlots : kLesserSlots;
       break;
   }
@@ -105,11 +118,8 @@
     return false;
   }
   const auto& targets = TargetsOf(aItem.service_);
-  const auto standing =
-    service->isEngine_ ? shares_.Standing(aItem.account_, Tokens(aItem), aNow)
-                       : ShareStanding::kOwed;
-  const auto limits =
-    service->isEngine_ ? LimitsFor(aItem, standing, aNow) : PlaceLimits{};
+  const auto standing = StandingOf(aItem, *service, aNow);
+  const auto limits = LimitsFor(aItem, *service, standing, aNow);
   const auto candidate =
     placement_.Choose(aItem, *service, targets, limits, aNow);
   if (!candidate) {
@@ -130,6 +140,16 @@
   return false;
 }
 
+auto Dispatcher::StandingOf(const WorkItem& aItem,
+                            const RoutedService& aService,
+                            Instant aNow) -> ShareStanding
+{
+  if (!aService.isEngine_ || !policy_.Has(Mechanism::kStandings)) {
+    return ShareStanding::kOwed;
+  }
+  return shares_.Standing(aItem.account_, Tokens(aItem), aNow);
+}
+
 auto Dispatcher::Start(const WorkItem& aItem,
                        const Candidate& aCandidate,
                        const RoutedService& aService,
@@ -139,9 +159,9 @@
   auto& load = loads_.At(aCandidate.target_);
   Run run;
   run.target_ = aCandidate.target_;
+  run.service_ = aItem.service_;
   run.adds_ = aCandidate.adds_;
   run.started_ = aNow;
-  // What the time to the first event says of the pace is lost in a copy.
   run.tokensAhead_ = aCandidate.copyFrom_ ? 0
                                           : load.Total().prefillTokens_ +
                                               aCandidate.adds_.prefillTokens_;
@@ -179,7 +199,15 @@
 
 auto Dispatcher::IsPressed(Instant aNow) const -> bool
 {
-  return aNow < std::max(ownPressedUntil_, peersPressedUntil_);
+  return policy_.Has(Mechanism::kPressed) &&
+         aNow < std::max(ownPressedUntil_, peersPressedUntil_);
+}
+
+auto Dispatcher::NoteSaturated(Instant aNow) -> void
+{
+  if (policy_.Has(Mechanism::kSaturation)) {
+    shares_.NoteSaturated(aNow);
+  }
 }
 
 auto Dispatcher::Reject(const WorkItem& aItem,
@@ -192,7 +220,7 @@
                                            aNow) == ShareStanding::kBeyond;
   if (!standsBack) {
     ownPressedUntil_ = aNow + kPressedTime;
-    shares_.NoteSaturated(aNow);
+    NoteSaturated(aNow);
   }
   aRefusal.retryAfter_ = ComeBackTime(aItem, aNow);
   if (aRefusal.reason_ == RejectReason::kResting) {
@@ -207,13 +235,19 @@
   const auto latest =
     std::clamp<Duration>(Part(aItem.deadline_ - aNow, kRetryAfterPart),
                          kMinRetryAfter, kMaxRetryAfter);
+  if (!policy_.Has(Mechanism::kSpreadReturns)) {
+    return (kMinRetryAfter + latest) / 2;
+  }
   std::uniform_int_distribution<std::int64_t> spread(kMinRetryAfter.count(),
                                                      latest.count());
   return Duration(spread(random_));
 }
 
-auto Dispatcher::GiveUpTime(const WorkItem& aItem) -> Instant
+auto Dispatcher::GiveUpTime(const WorkItem& aItem) const -> Instant
 {
+  if (!policy_.Has(Mechanism::kWaiting)) {
+    return aItem.arrival_;
+  }
   return aItem.arrival_ +
          (aItem.goesOn_ ? kGoesOnWait : Part(aItem.aim_, kWaitPart));
 }
@@ -233,9 +267,11 @@
 
 Dispatcher::Dispatcher(TargetDirectory* aDirectory,
                        ZoneId aHome,
-                       std::uint32_t aSeed)
+                       std::uint32_t aSeed,
+                       const ForwardingPolicy& aPolicy)
   : directory_(aDirectory)
-  , placement_(aHome)
+  , policy_(aPolicy)
+  , placement_(aHome, aPolicy)
   , table_(RouteTableBuilder(0).Build())
   , random_(aSeed)
 {
@@ -244,6 +280,7 @@
 auto Dispatcher::SetTable(RouteTablePointer aTable) -> void
 {
   table_ = std::move(aTable);
+  targets_.clear();
   shares_.SetTokensPerSecond(table_->TokensPerSecond());
 }
 
@@ -284,10 +321,11 @@
   run.begun_ = true;
   auto& load = loads_.At(run.target_);
   load.Remove({ 0, run.adds_.prefillTokens_, 0 });
-  load.LearnPace(run.tokensAhead_, aNow - run.started_);
+  LearnPace(run, aNow);
   load.OnSuccess();
   for (const auto id : run.parts_) {
-    if (load.NotePartRead(id, true, aNow) && reads_.size() < kMaxReadsTold) {
+    if (policy_.Has(Mechanism::kToldReads) &&
+        load.NotePartRead(id, true, aNow) && reads_.size() < kMaxReadsTold) {
       wire::PartRead read;
       read.target = run.target_.value_;
       read.part = static_cast<std::int64_t>(id);
@@ -297,6 +335,23 @@
   run.adds_.prefillTokens_ = 0;
 }
 
+auto Dispatcher::LearnPace(const Run& aRun, Instant aNow) -> void
+{
+  if (!policy_.Has(Mechanism::kPaceLearning)) {
+    return;
+  }
+  // What the time to the first event says is lost in a copy, and unknown of a
+  // run that another router placed.
+  if (aRun.tokensAhead_ == 0) {
+    return;
+  }
+  const auto sample =
+    paces_[aRun.service_].Learn(aRun.tokensAhead_, aNow - aRun.started_);
+  if (sample) {
+    loads_.At(aRun.target_).LearnPace(*sample);
+  }
+}
+
 auto Dispatcher::OnRunEnd(RequestId aRequest, RunEnd aEnd, Instant aNow) -> void
 {
   const auto found = runs_.find(aRequest);
@@ -320,7 +375,9 @@
       break;
     case RunEnd::kRefused:
     case RunEnd::kFailed:
-      load.OnFailure(aNow);
+      if (policy_.Has(Mechanism::kAvoidance)) {
+        load.OnFailure(aNow, policy_.Has(Mechanism::kLongerAvoidance));
+      }
       break;
     case RunEnd::kCancelled:
       break;
@@ -411,7 +468,7 @@
   }
   if (aReport.pressed) {
     peersPressedUntil_ = aNow + kPressedTime;
-    shares_.NoteSaturated(aNow);
+    NoteSaturated(aNow);
   }
 }
 
@@ -423,7 +480,7 @@
   report.pressed = aNow < ownPressedUntil_;
   report.reads = std::exchange(reads_, {});
   loadChanged_ = false;
-  if (aWhole) {
+  if (aWhole || !policy_.Has(Mechanism::kReportDeltas)) {
     delta_.ForceWhole();
   }
   delta_.Reduce(&report, aNow);
--- a/src/process/forwarding/dispatcher.h
+++ b/src/process/forwarding/dispatcher.h
@@ -90,20 +90,17 @@
   static constexpr Duration kGoesOnWait = 200ms;
   /// Part of the aim within which a first event must be expected.
   static constexpr double kOnTimePart = 0.9;
-  /// Prompt reading that may wait at an engine: enough that it never idles,
-  /// little enough that the shortest aims are met behind it.
-  static constexpr Duration kMaxBacklog = 200ms;
-  /// The same for accounts beyond their share of what is sure, and of what is
-  /// given.
-  static constexpr Duration kFairBacklog = 140ms;
-  static constexpr Duration kOverShareBacklog = 50ms;
-  /// What accounts beyond their share find room behind while others are turned
-  /// away, and how long that lasts after the last such refusal.
-  static constexpr Duration kPressedBacklog = 5ms;
+  /// The shortest aim where no stream names one, and the longest that limits
+  /// are parts of: what waits longer is better kept here, where its order can
+  /// still change, than at an engine.
+  static constexpr Duration kUsualAim = 500ms;
+  static constexpr Duration kLongestAim = 500ms;
+  /// Part of a target's slots that accounts beyond their share may use, and
+  /// while others are turned away.
+  static constexpr double kLesserSlots = 0.85;
   static constexpr double kPressedSlots = 0.6;
+  /// How long they stand back after others were turned away.
   static constexpr Duration kPressedTime = 1s;
-  /// Part of a target's slots that those may use.
-  static constexpr double kLesserSlots = 0.85;
   /// Times to come back lie between the first and this part of the patience.
   static constexpr Duration kMinRetryAfter = 500ms;
   static constexpr double kRetryAfterPart = 0.3;
@@ -117,12 +114,11 @@
   /// Reads that one report tells of; the rest goes unsaid, as it costs but a
   /// copy that finds nothing.
   static constexpr std::size_t kMaxReadsTold = 500;
-  /// Time to read a prompt token, in milliseconds.
-  static constexpr double kPromptTokenMs = 0.028;
 
   struct Run
   {
     TargetId target_;
+    ServiceId service_;
     TargetAmounts adds_;
     Instant started_{};
     int tokensAhead_ = 0;
@@ -143,7 +139,10 @@
   };
 
   TargetDirectory* directory_;
+  ForwardingPolicy policy_;
   Placement placement_;
+  /// How the engines of each service read.
+  std::map<ServiceId, ReadingPace> paces_;
   LoadBook loads_;
   AccountShares shares_;
   RouteTablePointer table_;
@@ -170,11 +169,20 @@
   /// Puts those first whose account has used the least part of its share.
   auto SortWaiting(Instant aNow) -> void;
   /// Longest wait for a first event on time; nothing where none can be.
-  [[nodiscard]] static auto OnTimeWait(const WorkItem& aItem, Instant aNow)
+  auto OnTimeWait(const WorkItem& aItem, Instant aNow)
     -> std::optional<Duration>;
   /// What a target must offer for the request, with its account standing so.
-  auto LimitsFor(const WorkItem& aItem, ShareStanding aStanding, Instant aNow)
-    -> PlaceLimits;
+  auto LimitsFor(const WorkItem& aItem,
+                 const RoutedService& aService,
+                 ShareStanding aStanding,
+                 Instant aNow) -> PlaceLimits;
+  /// How an engine of the service stands against its share of the pool.
+  auto StandingOf(const WorkItem& aItem,
+                  const RoutedService& aService,
+                  Instant aNow) -> ShareStanding;
+  /// Learns from a first event how fast its engine reads.
+  auto LearnPace(const Run& aRun, Instant aNow) -> void;
+  auto NoteSaturated(Instant aNow) -> void;
   auto TryStart(const WorkItem& aItem, Instant aNow, RejectWork* aRefusal)
     -> bool;
   auto Start(const WorkItem& aItem,
@@ -195,10 +203,13 @@
   [[nodiscard]] static auto Tokens(const WorkItem& aItem) -> std::int64_t;
 
 public:
-  Dispatcher(TargetDirectory* aDirectory, ZoneId aHome, std::uint32_t aSeed);
+  Dispatcher(TargetDirectory* aDirectory,
+             ZoneId aHome,
+             std::uint32_t aSeed,
+             const ForwardingPolicy& aPolicy = {});
 
   /// When a request that finds no room is turned away.
-  [[nodiscard]] static auto GiveUpTime(const WorkItem& aItem) -> Instant;
+  [[nodiscard]] auto GiveUpTime(const WorkItem& aItem) const -> Instant;
 
   auto SetTable(RouteTablePointer aTable) -> void;
   /// Takes a request; its verdict comes at once or by a later Pump.
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -129,6 +129,13 @@
                          options_.keyFreshness_ - kFreshnessMargin);
 }
 
+auto ForwardingNode::SpendRetry(const Request& aRequest, Instant aNow) -> bool
+{
+  return options_.policy_.Has(Mechanism::kRetries) &&
+         allowances_[aRequest.item_.service_].Spend(options_.retries_,
+                                                    peers_.RouterCount(), aNow);
+}
+
 auto ForwardingNode::RefuseArrival(Request* aRequest,
                                    ArrivalVerdict aVerdict,
                                    Instant aNow) -> void
@@ -422,18 +429,28 @@
                                EventLog* aLog)
   : options_(aOptions)
   , log_(aLog)
-  , dispatcher_(
-      &directory_, aSelf.zone_, static_cast<std::uint32_t>(aIncarnation))
-  , peers_(
-      std::move(aSelf), aIncarnation, &config_, &dispatcher_, aLog, &effects_)
+  , dispatcher_(&directory_,
+                aSelf.zone_,
+                static_cast<std::uint32_t>(aIncarnation),
+                aOptions.policy_)
+  , peers_(std::move(aSelf),
+           aIncarnation,
+           &config_,
+           &dispatcher_,
+           aLog,
+           &effects_,
+           aOptions.policy_)
   , placements_(&dispatcher_, &peers_.Peers(), aLog)
   , placementServer_(&dispatcher_)
+  , capacity_(aOptions.policy_)
 {
 }
 
 auto ForwardingNode::SetOptions(const ForwardingOptions& aOptions) -> void
 {
+  const auto policy = options_.policy_;
   options_ = aOptions;
+  options_.policy_ = policy;
 }
 
 auto ForwardingNode::OnArrival(ForwardArrival aArrival, Instant aNow) -> void
@@ -566,9 +583,8 @@
   placements_.OnRunEnd(aRequest, RunEnd::kRefused, aNow);
   request->attempting_ = false;
   request->machine_.Process(RefusedUnrun{});
-  auto& allowance = allowances_[request->item_.service_];
   if (request->sentAttempts_ < request->route_->maxAttempts_ &&
-      allowance.Spend(options_.retries_, peers_.RouterCount(), aNow)) {
+      SpendRetry(*request, aNow)) {
     ++counters_.retries_;
     log_->Write("retried", { { "request", request->arrival_.facts_.attemptId_ },
                              { "cause", "refused by target" } });
@@ -598,8 +614,7 @@
                request->sentAttempts_ < request->route_->maxAttempts_ &&
                (!request->answering_ ||
                 request->route_->kind_ == RouteKind::kStream) &&
-               allowances_[request->item_.service_].Spend(
-                 options_.retries_, peers_.RouterCount(), aNow);
+               SpendRetry(*request, aNow);
   log_->Write(may ? "retried" : "attempt_failed",
               { { "request", request->arrival_.facts_.attemptId_ },
                 { "cause", aCause },
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -9,6 +9,7 @@
 #include "process/forwarding/peer_exchange.h"
 #include "process/forwarding/placement_client.h"
 #include "process/forwarding/placement_server.h"
+#include "process/forwarding/policy.h"
 #include "process/forwarding/retry_allowance.h"
 #include "process/forwarding/store_epoch.h"
 #include "process/forwarding/target_directory.h"
@@ -30,6 +31,8 @@
   /// A key is judged only by a configuration that was the newest so lately.
   Duration keyFreshness_ = 5s;
   RetryBounds retries_;
+  /// What the process was started with; later settings don't change it.
+  ForwardingPolicy policy_;
 };
 
 /// A request as it was read from its caller.
@@ -156,6 +159,8 @@
   auto CheckKey(Request* aRequest) -> ArrivalVerdict;
   /// Whether the configuration is fresh enough to say what is not allowed.
   [[nodiscard]] auto IsFresh(const Request& aRequest) const -> bool;
+  /// Takes one more send of the request from the fleet's allowance.
+  auto SpendRetry(const Request& aRequest, Instant aNow) -> bool;
   auto RefuseArrival(Request* aRequest, ArrivalVerdict aVerdict, Instant aNow)
     -> void;
   auto FillItem(Request* aRequest) const -> void;
--- a/src/process/forwarding/own_capacity.cpp
+++ b/src/process/forwarding/own_capacity.cpp
@@ -32,10 +32,15 @@
   }
 }
 
+OwnCapacity::OwnCapacity(const ForwardingPolicy& aPolicy)
+  : policy_(aPolicy)
+{
+}
+
 auto OwnCapacity::Note(Duration aLateness, std::size_t aOpen, Instant aNow)
   -> void
 {
-  const bool late = aLateness > kLate;
+  const bool late = policy_.Has(Mechanism::kOwnCapacity) && aLateness > kLate;
   lateInRow_ = late ? lateInRow_ + 1 : 0;
   if (late) {
     lastLate_ = aNow;
@@ -72,7 +77,7 @@
 
 auto OwnCapacity::TakesConnections() const -> bool
 {
-  return !closedSince_;
+  return !closedSince_ || !policy_.Has(Mechanism::kClosedBalancer);
 }
 
 } // namespace burdockring
--- a/src/process/forwarding/own_capacity.h
+++ b/src/process/forwarding/own_capacity.h
@@ -2,6 +2,7 @@
 #define BURDOCKRING_PROCESS_FORWARDING_OWN_CAPACITY_H
 
 #include "base/time.h"
+#include "process/forwarding/policy.h"
 
 #include <cstddef>
 #include <optional>
@@ -44,6 +45,7 @@
   static constexpr Duration kLeastOpenTime = 4s;
 
 private:
+  ForwardingPolicy policy_;
   int lateInRow_ = 0;
   bool overloaded_ = false;
   Instant lastLate_{};
@@ -57,6 +59,8 @@
   auto Reopen(Instant aNow) -> void;
 
 public:
+  explicit OwnCapacity(const ForwardingPolicy& aPolicy = {});
+
   /// The timer ran so late, with so many requests open.
   auto Note(Duration aLateness, std::size_t aOpen, Instant aNow) -> void;
   /// Whether one more request may be taken with so many open.
--- a/src/process/forwarding/placement.cpp
+++ b/src/process/forwarding/placement.cpp
@@ -42,6 +42,11 @@
     std::chrono::duration<double, std::milli>(aMillis));
 }
 
+auto PartOf(Duration aDuration, double aPart) -> Duration
+{
+  return std::chrono::duration_cast<Duration>(aDuration * aPart);
+}
+
 auto HasTried(const WorkItem& aItem, TargetId aTarget) -> bool
 {
   return std::find(aItem.tried_.begin(), aItem.tried_.end(), aTarget) !=
@@ -156,13 +161,15 @@
   const auto& load = *aTarget.load_;
   const int shared = SharedTokens(aItem);
   const int known = std::min(shared, KeptTokens(aItem, load, true, aNow));
-  const int kept = aRank == 0 ? shared : known;
+  const int kept =
+    aRank == 0 && policy_.Has(Mechanism::kKeepers) ? shared : known;
   const auto source =
     std::find_if(aSources.begin(), aSources.end(), [&](const auto& aSource) {
       return aSource.target_ != aTarget.listed_->id_ &&
              aSource.keptTokens_ - known >= kLeastCopied;
     });
-  const bool copies = aService.copyMsPerToken_ > 0 && source != aSources.end();
+  const bool copies = policy_.Has(Mechanism::kCopies) &&
+                      aService.copyMsPerToken_ > 0 && source != aSources.end();
   // The first choice is believed to keep all, and copies only in case it does
   // not.
   const int copied = copies ? std::max(0, source->keptTokens_ - kept) : 0;
@@ -174,7 +181,7 @@
   candidate.target_ = aTarget.listed_->id_;
   candidate.adds_ = { 1, read, read + aItem.outputTokens_ };
   candidate.backlog_ = load.PrefillTime(0);
-  candidate.wait_ = load.PrefillTime(read) + kFirstEventTime;
+  candidate.wait_ = load.PrefillTime(read) + aLimits.pace_.FirstEventTime();
   if (copies) {
     candidate.copyFrom_ = source->target_;
   }
@@ -183,15 +190,19 @@
       kCopySetup + FromMillis(copied * aService.copyMsPerToken_);
   }
   candidate.cost_ =
-    candidate.wait_ + FromMillis(missing * kReadAgainMs + copied * kCopyMs);
+    candidate.wait_ +
+    aLimits.pace_.ReadingTime(missing * kReadAgainCost + copied * kCopyCost);
   if (shared > 0) {
-    candidate.cost_ += kRankPenalty * static_cast<int>(aRank);
+    candidate.cost_ +=
+      PartOf(aLimits.shortestAim_,
+             policy_.Engines().rankPenalty_ * static_cast<double>(aRank));
   }
   if (aTarget.listed_->zone_ != home_) {
     candidate.cost_ += kFarPenalty;
   }
   const double memory = total.memoryTokens_ + candidate.adds_.memoryTokens_;
-  const bool hasMemory = aService.memoryTokens_ <= 0 || total.running_ == 0 ||
+  const bool hasMemory = !policy_.Has(Mechanism::kMemoryBound) ||
+                         aService.memoryTokens_ <= 0 || total.running_ == 0 ||
                          memory <= kMemoryPart * aService.memoryTokens_;
   candidate.hasSlot_ = hasMemory && total.running_ < slots;
   candidate.fits_ =
@@ -201,6 +212,20 @@
   return candidate;
 }
 
+auto Placement::HeavyLimits(PlaceLimits aLimits, bool aIsKeeper) const
+  -> PlaceLimits
+{
+  const auto& engines = policy_.Engines();
+  if (aIsKeeper) {
+    aLimits.maxBacklog_ += PartOf(aLimits.shortestAim_, engines.keeperBacklog_);
+  } else {
+    aLimits.maxBacklog_ =
+      std::min(aLimits.maxBacklog_,
+               PartOf(aLimits.shortestAim_, engines.elsewhereBacklog_));
+  }
+  return aLimits;
+}
+
 auto Placement::ChooseEngine(const WorkItem& aItem,
                              const RoutedService& aService,
                              const std::vector<UsableTarget>& aTargets,
@@ -208,28 +233,27 @@
                              Instant aNow) const -> std::optional<Candidate>
 {
   const auto places = MayTake(aItem, aTargets, aNow);
-  const auto keepers = FindKeepers(aItem, aTargets, kKeepers);
+  const auto count = policy_.Has(Mechanism::kKeepers) ? kKeepers : 0;
+  const auto keepers = FindKeepers(aItem, aTargets, count);
   const auto sources = FindCopySources(aItem, aTargets, aNow);
   const auto isOpen = [&](std::size_t aPlace) {
     return std::find(places.begin(), places.end(), aPlace) != places.end();
   };
-  const bool heavy = SharedTokens(aItem) >= kHeavyTokens;
+  const bool heavy =
+    policy_.Has(Mechanism::kHeavyBeginnings) &&
+    aLimits.pace_.ReadingTime(SharedTokens(aItem)) >=
+      PartOf(aLimits.shortestAim_, policy_.Engines().heavyReading_);
   const bool staysAtKeepers =
     heavy && std::any_of(keepers.begin(), keepers.end(), isOpen);
   std::optional<Candidate> best;
   for (const auto i : places) {
     const auto rank = static_cast<std::size_t>(
       std::find(keepers.begin(), keepers.end(), i) - keepers.begin());
-    auto limits = aLimits;
-    if (heavy && rank < kKeepers) {
-      limits.maxBacklog_ += kKeeperBacklog;
-    } else if (heavy) {
-      limits.maxBacklog_ =
-        std::min<Duration>(limits.maxBacklog_, kElsewhereBacklog);
-    }
+    const auto limits =
+      heavy ? HeavyLimits(aLimits, rank < keepers.size()) : aLimits;
     auto candidate =
       WeighEngine(aItem, aService, aTargets[i], rank, sources, limits, aNow);
-    if (staysAtKeepers && rank >= kKeepers) {
+    if (staysAtKeepers && rank >= keepers.size()) {
       candidate.fits_ = false;
     }
     if (!best || IsBetter(candidate, *best)) {
@@ -263,8 +287,9 @@
   return best;
 }
 
-Placement::Placement(ZoneId aHome)
+Placement::Placement(ZoneId aHome, const ForwardingPolicy& aPolicy)
   : home_(aHome)
+  , policy_(aPolicy)
 {
 }
 
--- a/src/process/forwarding/placement.h
+++ b/src/process/forwarding/placement.h
@@ -1,6 +1,8 @@
 #ifndef BURDOCKRING_PROCESS_FORWARDING_PLACEMENT_H
 #define BURDOCKRING_PROCESS_FORWARDING_PLACEMENT_H
 
+#include "process/forwarding/policy.h"
+#include "process/forwarding/reading_pace.h"
 #include "process/forwarding/target_directory.h"
 #include "process/forwarding/target_load.h"
 #include "request/request_facts.h"
@@ -46,6 +48,11 @@
   std::optional<Duration> maxWait_;
   /// Part of the target's slots that may be in use.
   double maxSlotUse_ = 1.0;
+  /// The shortest aim of the service's streams, which other limits are parts
+  /// of.
+  Duration shortestAim_{};
+  /// How the service's targets read.
+  ReadingPace pace_;
 };
 
 /// Where a request would go and what it would find there.
@@ -83,34 +90,27 @@
 /// by some; long prompts ahead of short ones on the same engine.
 class Placement
 {
-  /// Time from a request's sending to its first event beside the reading.
-  static constexpr Duration kFirstEventTime = 25ms;
   /// What a target in another zone counts as later.
   static constexpr Duration kFarPenalty = 10ms;
   /// What a shared token counts for that is read again though kept elsewhere,
-  /// in milliseconds.
-  static constexpr double kReadAgainMs = 0.1;
+  /// as a multiple of the time that it takes.
+  static constexpr double kReadAgainCost = 3.6;
   /// Rendezvous choices that a shared beginning goes to, in this order as far
   /// as they have room, so that all routers agree on the next one.
   static constexpr std::size_t kKeepers = 2;
-  static constexpr Duration kRankPenalty = 40ms;
-  /// A shared beginning of this many tokens is read at its keepers only, while
-  /// one of them may be used; otherwise only where next to nothing waits.
-  static constexpr int kHeavyTokens = 1500;
-  static constexpr Duration kElsewhereBacklog = 30ms;
-  /// What may wait more at a keeper of a heavy beginning than elsewhere.
-  static constexpr Duration kKeeperBacklog = 120ms;
   /// Part of an engine's memory that running requests may fill.
   static constexpr double kMemoryPart = 0.8;
 
   /// Time to set up a copy from another engine.
   static constexpr Duration kCopySetup = 5ms;
-  /// What a copied token counts for beside its time, in milliseconds.
-  static constexpr double kCopyMs = 0.01;
+  /// What a copied token counts for beside its time, as a multiple of the time
+  /// that reading it takes.
+  static constexpr double kCopyCost = 0.36;
   /// Beginnings of fewer tokens are read sooner than copied.
   static constexpr int kLeastCopied = 100;
 
   ZoneId home_;
+  ForwardingPolicy policy_;
 
   /// An engine that keeps some of a shared beginning.
   struct CopySource
@@ -131,6 +131,10 @@
                    const std::vector<CopySource>& aSources,
                    const PlaceLimits& aLimits,
                    Instant aNow) const -> Candidate;
+  /// The limits where a beginning is heavy, by the target's place among its
+  /// keepers.
+  [[nodiscard]] auto HeavyLimits(PlaceLimits aLimits, bool aIsKeeper) const
+    -> PlaceLimits;
   [[nodiscard]] auto ChooseEngine(const WorkItem& aItem,
                                   const RoutedService& aService,
                                   const std::vector<UsableTarget>& aTargets,
@@ -143,7 +147,7 @@
     -> std::optional<Candidate>;
 
 public:
-  explicit Placement(ZoneId aHome);
+  Placement(ZoneId aHome, const ForwardingPolicy& aPolicy);
 
   /// The best target, or nothing where none may be used.
   [[nodiscard]] auto Choose(const WorkItem& aItem,
--- a/src/process/forwarding/placement_client.cpp
+++ b/src/process/forwarding/placement_client.cpp
@@ -104,7 +104,7 @@
   if (!verdict) {
     ask.waits_ = true;
     ask.answerBy_ =
-      std::max(Dispatcher::GiveUpTime(ask.item_), aNow) + kVerdictMargin;
+      std::max(dispatcher_->GiveUpTime(ask.item_), aNow) + kVerdictMargin;
     return;
   }
   if (const auto* start = std::get_if<StartWork>(&*verdict)) {
--- /dev/null
+++ b/src/process/forwarding/policy.h
@@ -0,0 +1,109 @@
+#ifndef BURDOCKRING_PROCESS_FORWARDING_POLICY_H
+#define BURDOCKRING_PROCESS_FORWARDING_POLICY_H
+
+#include <bitset>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace burdockring {
+
+/// A part of how requests are placed, kept waiting and turned away. Each can be
+/// left out, to see what it is worth. The comment says which load it answers.
+enum class Mechanism
+{
+  /// Many routers with a request now and then: a few place for all.
+  kLeads,
+  /// Dozens of routers with work at dozens of targets: only changes are told.
+  kReportDeltas,
+  /// Beginnings that another router had read: engines copy those as well.
+  kToldReads,
+  /// A beginning's engine is full: the next one copies what the first has read.
+  kCopies,
+  /// Many prompts that share beginnings: each has its own few engines.
+  kKeepers,
+  /// Heavy beginnings in bursts: they are read at their own engines only.
+  kHeavyBeginnings,
+  /// Long prompts: an engine's memory is not overfilled.
+  kMemoryBound,
+  /// A flood while others are turned away: the flood stands back further.
+  kPressed,
+  /// One account at many times its usual: it finds less room than the others.
+  kStandings,
+  /// A pool that gives less than promised: shares go by what it gives.
+  kSaturation,
+  /// Engines slower than others of their service.
+  kPaceLearning,
+  /// Targets that fail.
+  kAvoidance,
+  /// Targets that go on failing.
+  kLongerAvoidance,
+  /// A small router that callers flood.
+  kOwnCapacity,
+  /// The same: the balancer sends its callers elsewhere.
+  kClosedBalancer,
+  /// Many turned away at once: they come back one after the other.
+  kSpreadReturns,
+  /// Clumps of requests: room comes within a part of their aims.
+  kWaiting,
+  /// Requests that break or that a target refuses.
+  kRetries,
+  /// Many routers before a store whose calls are limited.
+  kReadTurns,
+};
+
+constexpr std::size_t kMechanismCount = 19;
+
+auto MechanismName(Mechanism aMechanism) -> std::string_view;
+auto MechanismByName(std::string_view aName) -> std::optional<Mechanism>;
+
+/// What may stand before a request at an engine, and what else speaks against
+/// one, as parts of the shortest aim of the service's streams: the same limits
+/// then fit engines and callers of any speed.
+struct EngineLimits
+{
+  /// Reading that may wait before a request whose account is within its share
+  /// of what is sure, within that of what is given, beyond it, and beyond it
+  /// while others are turned away.
+  double owedBacklog_ = 0.67;
+  double fairBacklog_ = 0.47;
+  double beyondBacklog_ = 0.17;
+  double pressedBacklog_ = 0.017;
+  /// What may wait more at an own engine of a heavy beginning, and at most
+  /// where it has none.
+  double keeperBacklog_ = 0.4;
+  double elsewhereBacklog_ = 0.1;
+  /// A beginning that takes longer to read is heavy.
+  double heavyReading_ = 0.14;
+  /// What each further choice of a beginning's engines counts as later.
+  double rankPenalty_ = 0.13;
+};
+
+/// How requests are placed, kept waiting and turned away. A value; built by
+/// PolicyBuilder.
+class ForwardingPolicy
+{
+  friend class PolicyBuilder;
+
+  std::bitset<kMechanismCount> absent_;
+  EngineLimits engines_;
+
+public:
+  [[nodiscard]] auto Has(Mechanism aMechanism) const -> bool;
+  [[nodiscard]] auto Engines() const -> const EngineLimits&;
+};
+
+/// Builds a policy from the usual one.
+class PolicyBuilder
+{
+  ForwardingPolicy policy_;
+
+public:
+  auto Without(Mechanism aMechanism) -> PolicyBuilder&;
+  auto SetEngines(const EngineLimits& aLimits) -> PolicyBuilder&;
+  [[nodiscard]] auto Build() const -> ForwardingPolicy;
+};
+
+} // namespace burdockring
+
+#endif
--- a/src/process/forwarding/target_load.cpp
+++ b/src/process/forwarding/target_load.cpp
@@ -5,15 +5,18 @@
 namespace burdockring {
 namespace {
 
-auto ToDuration(double aMilliseconds) -> Duration
-{
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double, std::milli>(aMilliseconds));
-}
+/// Of targets whose service isn't known.
+const ReadingPace kUnknownPace;
+
+/// More than any router has at one target; garbled counts stay within it, so
+/// that the sums over all peers stay whole numbers.
+constexpr int kMostOfPeer = 5'000'000;
 
 auto AmountsOf(const wire::TargetUse& aUse) -> TargetAmounts
 {
-  return { aUse.running, aUse.prefillTokens, aUse.memoryTokens };
+  return { std::clamp(aUse.running, 0, kMostOfPeer),
+           std::clamp(aUse.prefillTokens, 0, kMostOfPeer),
+           std::clamp(aUse.memoryTokens, 0, kMostOfPeer) };
 }
 
 } // namespace
@@ -110,15 +113,16 @@
          aNow - found->second.readAt_ <= kPartLife;
 }
 
-auto TargetLoad::LearnPace(int aTokens, Duration aTime) -> void
+auto TargetLoad::SetUsualPace(const ReadingPace* aUsual) -> void
 {
-  if (aTokens < kMinSampleTokens) {
-    return;
-  }
-  const double milliseconds =
-    std::chrono::duration<double, std::milli>(aTime).count();
-  const double sample = std::clamp(
-    milliseconds / (aTokens * kPrefillMsPerToken), kMinPace, kMaxPace);
+  usual_ = aUsual;
+}
+
+auto TargetLoad::LearnPace(double aSample) -> void
+{
+  const auto& usual = usual_ == nullptr ? kUnknownPace : *usual_;
+  const double sample =
+    std::clamp(aSample / usual.MsPerToken(), kMinPace, kMaxPace);
   pace_ += kLearnWeight * (sample - pace_);
 }
 
@@ -128,9 +132,9 @@
   avoidUntil_ = {};
 }
 
-auto TargetLoad::OnFailure(Instant aNow) -> void
+auto TargetLoad::OnFailure(Instant aNow, bool aLonger) -> void
 {
-  const auto doublings = std::min(failures_, kMaxDoublings);
+  const auto doublings = aLonger ? std::min(failures_, kMaxDoublings) : 0;
   avoidUntil_ = aNow + kFirstAvoidance * (1 << doublings);
   ++failures_;
 }
@@ -170,7 +174,8 @@
 auto TargetLoad::PrefillTime(int aTokens) const -> Duration
 {
   const auto ahead = own_.prefillTokens_ + peers_.prefillTokens_;
-  return ToDuration((ahead + aTokens) * kPrefillMsPerToken * pace_);
+  const auto& usual = usual_ == nullptr ? kUnknownPace : *usual_;
+  return usual.ReadingTime((ahead + aTokens) * pace_);
 }
 
 auto TargetLoad::Pace() const -> double
--- a/src/process/forwarding/target_load.h
+++ b/src/process/forwarding/target_load.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "peer_types.h"
+#include "process/forwarding/reading_pace.h"
 
 #include <cstdint>
 #include <functional>
@@ -37,14 +38,10 @@
   static constexpr std::size_t kMaxParts = 4096;
   /// Peers are told again of a part that goes on being used.
   static constexpr Duration kTellAgain = 8s;
-  /// Time to read a prompt token while other requests decode.
-  static constexpr double kPrefillMsPerToken = 1.0 / 36.0;
   static constexpr double kLearnWeight = 0.1;
-  /// Bounds of what is learned, as multiples of kPrefillMsPerToken.
+  /// Bounds of what is learned, as multiples of the service's pace.
   static constexpr double kMinPace = 0.5;
   static constexpr double kMaxPace = 8.0;
-  /// Least prompt tokens that a sample of the pace is taken from.
-  static constexpr int kMinSampleTokens = 1500;
   /// How long a target that failed once is avoided, doubling with each failure
   /// in a row.
   static constexpr Duration kFirstAvoidance = 250ms;
@@ -67,6 +64,8 @@
   };
 
   std::unordered_map<std::uint64_t, Part> parts_;
+  /// That of the service, or null where it isn't known.
+  const ReadingPace* usual_ = nullptr;
   double pace_ = 1.0;
   int failures_ = 0;
   Instant avoidUntil_{};
@@ -92,10 +91,13 @@
   [[nodiscard]] auto HasReadPart(std::uint64_t aPart, Instant aNow) const
     -> bool;
 
-  /// Learns from the time to a first event behind so many prompt tokens.
-  auto LearnPace(int aTokens, Duration aTime) -> void;
+  /// How the service's targets read; it must outlive the load.
+  auto SetUsualPace(const ReadingPace* aUsual) -> void;
+  /// Learns from what a first event showed, in milliseconds for a token.
+  auto LearnPace(double aSample) -> void;
   auto OnSuccess() -> void;
-  auto OnFailure(Instant aNow) -> void;
+  /// Avoids the target, for longer with each failure in a row if aLonger.
+  auto OnFailure(Instant aNow, bool aLonger = true) -> void;
   [[nodiscard]] auto IsAvoided(Instant aNow) const -> bool;
   [[nodiscard]] auto AvoidUntil() const -> Instant;
   /// The target asked for no requests until then; unlike one that failed it is
--- a/src/version/route_table.cpp
+++ b/src/version/route_table.cpp
@@ -124,9 +124,28 @@
   return *this;
 }
 
+auto RouteTableBuilder::NoteAims(const std::vector<RouteObject>& aRoutes)
+  -> void
+{
+  for (const auto& route : aRoutes) {
+    if (route.kind_ != RouteKind::kStream || route.aim_ <= 0us) {
+      continue;
+    }
+    for (const auto& share : route.shares_) {
+      const auto service = table_.services_.find(share.service_);
+      if (service == table_.services_.end()) {
+        continue;
+      }
+      auto& shortest = service->second.shortestAim_;
+      shortest = shortest == 0us ? route.aim_ : std::min(shortest, route.aim_);
+    }
+  }
+}
+
 auto RouteTableBuilder::Build() -> RouteTablePointer
 {
   for (auto& entry : table_.routes_) {
+    NoteAims(entry.second);
     std::stable_sort(entry.second.begin(), entry.second.end(),
                      [](const RouteObject& aLeft, const RouteObject& aRight) {
                        return aLeft.prefix_.size() > aRight.prefix_.size();
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -67,6 +67,8 @@
   /// Time in which an engine copies the memory of a token from another, in
   /// milliseconds; zero: it can't.
   double copyMsPerToken_ = 0;
+  /// The shortest aim of the streams that are sent to it; zero: there are none.
+  Duration shortestAim_{};
 };
 
 struct RoutedAccount
@@ -130,6 +132,9 @@
 {
   RouteTable table_;
 
+  /// Finds the shortest aims of the services that these routes lead to.
+  auto NoteAims(const std::vector<RouteObject>& aRoutes) -> void;
+
 public:
   explicit RouteTableBuilder(std::int64_t aVersion);
 
--- a/tests/main/endless_answer_test.cpp
+++ b/tests/main/endless_answer_test.cpp
@@ -127,13 +127,12 @@
   EXPECT_TRUE(WaitUntil([] { return Status(Ask("/once/x")) == "200"; }));
 }
 
-INSTANTIATE_TEST_SUITE_P(
-  Places,
-  EndlessAnswerTest,
-  testing::ValuesIn(Cases()),
-  [](const testing::TestParamInfo<EndlessCase>& aInfo) {
-    return std::string(aInfo.param.name_);
-  });
+INSTANTIATE_TEST_SUITE_P(Places,
+                         EndlessAnswerTest,
+                         testing::ValuesIn(Cases()),
+                         [](const testing::TestParamInfo<EndlessCase>& aInfo) {
+                           return std::string(aInfo.param.name_);
+                         });
 
 using EndlessRefusalTest = ForwardProcess;
 
@@ -142,7 +141,9 @@
   SetScripts([](const std::string&) {
     ScriptedAnswer answer{
       "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: a1\r\n\r\n",
-      true, { std::string(32U << 10U, 'x') }, 0us
+      true,
+      { std::string(32U << 10U, 'x') },
+      0us
     };
     answer.endless_ = true;
     return answer;
--- /dev/null
+++ b/tests/process/forwarding/reading_pace_test.cpp
@@ -0,0 +1,88 @@
+#include "process/forwarding/reading_pace.h"
+
+#include <gtest/gtest.h>
+#include <random>
+
+namespace burdockring {
+namespace {
+
+constexpr Duration kFirst = 25ms;
+
+/// Feeds first events of an engine that reads a token in aMs; a third of the
+/// samples are off by far.
+auto Feed(ReadingPace* aPace, double aMs, int aSamples, int aSeed = 1) -> void
+{
+  std::mt19937 random(static_cast<std::uint32_t>(aSeed));
+  std::uniform_int_distribution<int> tokens(2000, 20'000);
+  std::uniform_real_distribution<double> odds(0, 1);
+  for (int i = 0; i < aSamples; ++i) {
+    const int count = tokens(random);
+    const double draw = odds(random);
+    const double factor = draw < 0.17 ? 0.2 : draw < 0.33 ? 4.0 : 1.0;
+    aPace->Learn(count, kFirst + std::chrono::duration_cast<Duration>(
+                                   std::chrono::duration<double, std::milli>(
+                                     count * aMs * factor)));
+  }
+}
+
+TEST(ReadingPaceTest, StartsWithWhatThePoolIsSaidToGive)
+{
+  ReadingPace pace;
+  pace.SetStart(590'000, 18);
+  EXPECT_NEAR(pace.MsPerToken(), 18.0 / 590.0, 1e-6);
+}
+
+// Load pattern: engines of any speed, whatever the configuration promises.
+TEST(ReadingPaceTest, FindsThePaceOfEnginesOfAnySpeedAmongWildSamples)
+{
+  for (const double ms : { 0.005, 0.02, 0.1, 0.2 }) {
+    ReadingPace pace;
+    pace.SetStart(500'000, 18);
+    Feed(&pace, ms, 400);
+    EXPECT_NEAR(pace.MsPerToken() / ms, 1.0, 0.25) << ms;
+  }
+}
+
+// Load pattern: all engines of a service become four times as slow.
+TEST(ReadingPaceTest, FollowsAChangeOfSpeed)
+{
+  ReadingPace pace;
+  Feed(&pace, 0.02, 300);
+  Feed(&pace, 0.08, 200, 2);
+  EXPECT_NEAR(pace.MsPerToken() / 0.08, 1.0, 0.25);
+}
+
+TEST(ReadingPaceTest, AnotherNumberOfEnginesKeepsWhatWasLearned)
+{
+  ReadingPace pace;
+  pace.SetStart(500'000, 10);
+  Feed(&pace, 0.04, 300);
+  const auto before = pace.MsPerToken();
+  pace.SetStart(500'000, 10);
+  EXPECT_DOUBLE_EQ(pace.MsPerToken(), before);
+}
+
+TEST(ReadingPaceTest, ShortReadingShowsNothingOfAToken)
+{
+  ReadingPace pace;
+  EXPECT_FALSE(pace.Learn(100, 27ms));
+  EXPECT_TRUE(pace.Learn(20'000, 500ms));
+}
+
+// Load pattern: engines whose steps are long, and short prompts.
+TEST(ReadingPaceTest, FindsWhatAFirstEventTakesBesideTheReading)
+{
+  for (const Duration first : { 5ms, 47ms, 190ms }) {
+    ReadingPace pace;
+    for (int i = 0; i < 300; ++i) {
+      pace.Learn(100, first + 2500us);
+      pace.Learn(10'000, first + 250ms);
+    }
+    EXPECT_NEAR(std::chrono::duration<double>(pace.FirstEventTime()) /
+                  std::chrono::duration<double>(first),
+                1.0, 0.15);
+  }
+}
+
+} // namespace
+} // namespace burdockring
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <stdexcept>
+#include <thread>
 
 namespace burdockring {
 namespace {
@@ -21,6 +22,8 @@
 /// add to the time at which it was taken away.
 constexpr std::int64_t kRevokeMs = 5'000;
 constexpr std::int64_t kMarginMs = 50;
+/// How long what the store lost is missing there.
+constexpr auto kRewriteTime = std::chrono::milliseconds(400);
 
 auto NowMs() -> std::int64_t
 {
@@ -197,11 +200,22 @@
   if (aWithSecondKey) {
     configuration.accounts_.push_back({ "shop", "k2" });
   }
-  store_->Put(std::string(kStandinConfigurationTopic),
-              EncodeStandinConfiguration(configuration));
+  store_->TakeCopy();
+  published_ = EncodeStandinConfiguration(configuration);
+  store_->Put(std::string(kStandinConfigurationTopic), published_);
   revokedAt_ = aWithSecondKey ? 0 : NowMs();
 }
 
+auto SoakFleet::RestoreStore() -> void
+{
+  store_->RestoreCopy();
+  std::this_thread::sleep_for(kRewriteTime);
+  store_->Put(std::string(kStandinConfigurationTopic), published_);
+  for (int i = 0; i < options_.targets_; ++i) {
+    ListTarget(i, false);
+  }
+}
+
 auto SoakFleet::PutGarbage() -> void
 {
   store_->Put(std::string(kStandinTargetTopic),
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -62,6 +62,8 @@
   std::vector<Router> routers_;
   std::vector<std::unique_ptr<Target>> targets_;
   int version_ = 1;
+  /// The last configuration that was published.
+  KeyedRecord published_;
   std::atomic<std::int64_t> revokedAt_{ 0 };
 
   [[nodiscard]] auto PortOf(int aOffset) const -> std::uint16_t;
@@ -86,6 +88,9 @@
   auto SetTargetLink(int aTarget, LinkFault aFault) -> void;
   auto SetTargetFaulty(int aTarget, bool aFaulty) -> void;
   auto SetStoreFault(StoreFault aFault) -> void;
+  /// The store comes back as it was before the last publication; what the
+  /// operator and the targets wrote since is soon written again.
+  auto RestoreStore() -> void;
   auto CompactStore() -> void;
   /// Writes a version, with the second account's key or without it.
   auto Publish(bool aWithSecondKey) -> void;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -128,6 +128,11 @@
         break;
       }
       default:
+        if (storeRandom_() % 2 == 0) {
+          Say("store back from an older copy");
+          fleet_->RestoreStore();
+          break;
+        }
         Say("store up");
         fleet_->SetStoreFault(StoreFault::kNone);
     }
