Callers that were turned away come back sooner; waits and returns belong to the policy

Hypothesis: most refusals are of clumps that drain within the backlog's time; a time to come back of 0.5 s to 0.3 of the patience makes nearly all of them late. Change: times to come back lie between half of the shortest aim and 0.15 of the patience; WaitLimits in the policy.

--- a/src/main/policy_reader.cpp
+++ b/src/main/policy_reader.cpp
@@ -10,21 +10,31 @@
 /// Most that a limit may be, as a multiple of the shortest aim.
 constexpr double kMostPart = 1000;
 
+template<typename Limits>
 struct LimitRow
 {
   const char* key_;
-  double EngineLimits::*limit_;
+  double Limits::*limit_;
 };
 
-constexpr std::array kLimitTable{
-  LimitRow{ "owed_backlog", &EngineLimits::owedBacklog_ },
-  LimitRow{ "fair_backlog", &EngineLimits::fairBacklog_ },
-  LimitRow{ "beyond_backlog", &EngineLimits::beyondBacklog_ },
-  LimitRow{ "pressed_backlog", &EngineLimits::pressedBacklog_ },
-  LimitRow{ "keeper_backlog", &EngineLimits::keeperBacklog_ },
-  LimitRow{ "elsewhere_backlog", &EngineLimits::elsewhereBacklog_ },
-  LimitRow{ "heavy_reading", &EngineLimits::heavyReading_ },
-  LimitRow{ "rank_penalty", &EngineLimits::rankPenalty_ },
+using EngineRow = LimitRow<EngineLimits>;
+using WaitRow = LimitRow<WaitLimits>;
+
+constexpr std::array kEngineTable{
+  EngineRow{ "owed_backlog", &EngineLimits::owedBacklog_ },
+  EngineRow{ "fair_backlog", &EngineLimits::fairBacklog_ },
+  EngineRow{ "beyond_backlog", &EngineLimits::beyondBacklog_ },
+  EngineRow{ "pressed_backlog", &EngineLimits::pressedBacklog_ },
+  EngineRow{ "keeper_backlog", &EngineLimits::keeperBacklog_ },
+  EngineRow{ "elsewhere_backlog", &EngineLimits::elsewhereBacklog_ },
+  EngineRow{ "heavy_reading", &EngineLimits::heavyReading_ },
+  EngineRow{ "rank_penalty", &EngineLimits::rankPenalty_ },
+};
+
+constexpr std::array kWaitTable{
+  WaitRow{ "wait_part", &WaitLimits::waitPart_ },
+  WaitRow{ "return_aim", &WaitLimits::returnAim_ },
+  WaitRow{ "return_patience", &WaitLimits::returnPatience_ },
 };
 
 auto ReadWithout(YamlReader* aReader,
@@ -43,13 +53,16 @@
   }
 }
 
-auto ReadEngines(const YAML::Node& aNode,
-                 const std::string& aFile,
-                 FindingList* aFindings) -> EngineLimits
+template<typename Table, typename Limits>
+auto ReadLimits(const YAML::Node& aNode,
+                const std::string& aFile,
+                const Table& aTable,
+                Limits aUsual,
+                FindingList* aFindings) -> Limits
 {
-  EngineLimits limits;
+  auto limits = aUsual;
   YamlReader reader(aNode, aFile, aFindings);
-  for (const auto& row : kLimitTable) {
+  for (const auto& row : aTable) {
     auto& limit = limits.*row.limit_;
     limit = reader.Number(row.key_, limit, 0, kMostPart);
   }
@@ -71,7 +84,12 @@
   YamlReader reader(*top, aFile, aFindings);
   ReadWithout(&reader, aFindings, &builder);
   if (const auto engines = reader.Section("engines")) {
-    builder.SetEngines(ReadEngines(*engines, aFile, aFindings));
+    builder.SetEngines(
+      ReadLimits(*engines, aFile, kEngineTable, EngineLimits(), aFindings));
+  }
+  if (const auto waits = reader.Section("waits")) {
+    builder.SetWaits(
+      ReadLimits(*waits, aFile, kWaitTable, WaitLimits(), aFindings));
   }
   reader.Finish();
   if (aFindings->HasErrors()) {
--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -83,10 +83,7 @@
   }
   const auto& engines = policy_.Engines();
   PlaceLimits limits;
-  limits.shortestAim_ =
-    aService.shortestAim_ > 0us
-      ? std::min<Duration>(aService.shortestAim_, kLongestAim)
-      : Duration(kUsualAim);
+  limits.shortestAim_ = LimitingAim(aService);
   limits.pace_ = paces_[aItem.service_];
   limits.maxBacklog_ = Part(limits.shortestAim_, engines.owedBacklog_);
   if (!aItem.goesOn_) {
@@ -203,6 +200,20 @@
          aNow < std::max(ownPressedUntil_, peersPressedUntil_);
 }
 
+auto Dispatcher::LimitingAim(const RoutedService& aService) -> Duration
+{
+  return aService.shortestAim_ > 0us
+           ? std::min<Duration>(aService.shortestAim_, kLongestAim)
+           : Duration(kUsualAim);
+}
+
+auto Dispatcher::FirstReturn(const WorkItem& aItem) const -> Duration
+{
+  const auto* service = table_->FindService(aItem.service_);
+  const Duration aim = service == nullptr ? kUsualAim : LimitingAim(*service);
+  return Part(aim, policy_.Waits().returnAim_);
+}
+
 auto Dispatcher::NoteSaturated(Instant aNow) -> void
 {
   if (policy_.Has(Mechanism::kSaturation)) {
@@ -225,20 +236,21 @@
   aRefusal.retryAfter_ = ComeBackTime(aItem, aNow);
   if (aRefusal.reason_ == RejectReason::kResting) {
     // Spread behind the end of the rest, as all would come at once.
-    aRefusal.retryAfter_ += aRefusal.expectedWait_ - kMinRetryAfter;
+    aRefusal.retryAfter_ += aRefusal.expectedWait_ - FirstReturn(aItem);
   }
   verdicts_.emplace_back(aRefusal);
 }
 
 auto Dispatcher::ComeBackTime(const WorkItem& aItem, Instant aNow) -> Duration
 {
-  const auto latest =
-    std::clamp<Duration>(Part(aItem.deadline_ - aNow, kRetryAfterPart),
-                         kMinRetryAfter, kMaxRetryAfter);
+  const auto first = std::min<Duration>(FirstReturn(aItem), kMaxRetryAfter);
+  const auto latest = std::clamp<Duration>(
+    Part(aItem.deadline_ - aNow, policy_.Waits().returnPatience_), first,
+    kMaxRetryAfter);
   if (!policy_.Has(Mechanism::kSpreadReturns)) {
-    return (kMinRetryAfter + latest) / 2;
+    return (first + latest) / 2;
   }
-  std::uniform_int_distribution<std::int64_t> spread(kMinRetryAfter.count(),
+  std::uniform_int_distribution<std::int64_t> spread(first.count(),
                                                      latest.count());
   return Duration(spread(random_));
 }
@@ -248,8 +260,9 @@
   if (!policy_.Has(Mechanism::kWaiting)) {
     return aItem.arrival_;
   }
-  return aItem.arrival_ +
-         (aItem.goesOn_ ? kGoesOnWait : Part(aItem.aim_, kWaitPart));
+  return aItem.arrival_ + (aItem.goesOn_
+                             ? Duration(kGoesOnWait)
+                             : Part(aItem.aim_, policy_.Waits().waitPart_));
 }
 
 auto Dispatcher::IsHopeless(const RejectWork& aRefusal,
--- a/src/process/forwarding/dispatcher.h
+++ b/src/process/forwarding/dispatcher.h
@@ -84,8 +84,6 @@
 /// waves and clumps, with one account far above its usual.
 class Dispatcher
 {
-  /// Part of the aim that may pass before a request is turned away.
-  static constexpr double kWaitPart = 0.2;
   /// Longest wait of a stream that goes on.
   static constexpr Duration kGoesOnWait = 200ms;
   /// Part of the aim within which a first event must be expected.
@@ -101,9 +99,7 @@
   static constexpr double kPressedSlots = 0.6;
   /// How long they stand back after others were turned away.
   static constexpr Duration kPressedTime = 1s;
-  /// Times to come back lie between the first and this part of the patience.
-  static constexpr Duration kMinRetryAfter = 500ms;
-  static constexpr double kRetryAfterPart = 0.3;
+  /// The longest time to come back.
   static constexpr Duration kMaxRetryAfter = 4s;
   /// How often what waits is looked at though nothing is known to have changed.
   static constexpr Duration kFullLookInterval = 25ms;
@@ -183,6 +179,11 @@
   /// Learns from a first event how fast its engine reads.
   auto LearnPace(const Run& aRun, Instant aNow) -> void;
   auto NoteSaturated(Instant aNow) -> void;
+  /// The shortest aim that the service's limits are parts of.
+  [[nodiscard]] static auto LimitingAim(const RoutedService& aService)
+    -> Duration;
+  /// The shortest time to come back.
+  [[nodiscard]] auto FirstReturn(const WorkItem& aItem) const -> Duration;
   auto TryStart(const WorkItem& aItem, Instant aNow, RejectWork* aRefusal)
     -> bool;
   auto Start(const WorkItem& aItem,
--- a/src/process/forwarding/policy.cpp
+++ b/src/process/forwarding/policy.cpp
@@ -62,6 +62,11 @@
   return engines_;
 }
 
+auto ForwardingPolicy::Waits() const -> const WaitLimits&
+{
+  return waits_;
+}
+
 auto PolicyBuilder::Without(Mechanism aMechanism) -> PolicyBuilder&
 {
   policy_.absent_.set(static_cast<std::size_t>(aMechanism));
@@ -74,6 +79,12 @@
   return *this;
 }
 
+auto PolicyBuilder::SetWaits(const WaitLimits& aLimits) -> PolicyBuilder&
+{
+  policy_.waits_ = aLimits;
+  return *this;
+}
+
 auto PolicyBuilder::Build() const -> ForwardingPolicy
 {
   return policy_;
--- a/src/process/forwarding/policy.h
+++ b/src/process/forwarding/policy.h
@@ -79,6 +79,18 @@
   double rankPenalty_ = 0.13;
 };
 
+/// How long requests wait for room, and when those that were turned away come
+/// back.
+struct WaitLimits
+{
+  /// Part of the aim that may pass before a request is turned away.
+  double waitPart_ = 0.2;
+  /// Times to come back lie between the first, a part of the shortest aim, and
+  /// the second, a part of the caller's patience.
+  double returnAim_ = 0.5;
+  double returnPatience_ = 0.15;
+};
+
 /// How requests are placed, kept waiting and turned away. A value; built by
 /// PolicyBuilder.
 class ForwardingPolicy
@@ -87,10 +99,12 @@
 
   std::bitset<kMechanismCount> absent_;
   EngineLimits engines_;
+  WaitLimits waits_;
 
 public:
   [[nodiscard]] auto Has(Mechanism aMechanism) const -> bool;
   [[nodiscard]] auto Engines() const -> const EngineLimits&;
+  [[nodiscard]] auto Waits() const -> const WaitLimits&;
 };
 
 /// Builds a policy from the usual one.
@@ -101,6 +115,7 @@
 public:
   auto Without(Mechanism aMechanism) -> PolicyBuilder&;
   auto SetEngines(const EngineLimits& aLimits) -> PolicyBuilder&;
+  auto SetWaits(const WaitLimits& aLimits) -> PolicyBuilder&;
   [[nodiscard]] auto Build() const -> ForwardingPolicy;
 };
 
