--- a/src/connection/event_splitter.cpp
+++ b/src/connection/event_splitter.cpp
@@ -39,8 +39,8 @@
   const auto searched = rest_.empty() ? 0 : rest_.size() - 1;
   rest_ += aBytes;
   const auto found = std::string_view(rest_).substr(searched).rfind(kEventEnd);
-  const auto end = found == std::string_view::npos ? std::string::npos
-                                                   : searched + found;
+  const auto end =
+    found == std::string_view::npos ? std::string::npos : searched + found;
   if (end == std::string::npos) {
     return {};
   }
--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -112,13 +112,13 @@
     }
     const auto listener = listener_.lock();
     auto body = reader_->TakeBody();
+    skippedBytes_ += skipping_ ? body.size() : 0;
     if (answering_ && !body.empty() && listener) {
       listener->OnBody(attempt_, std::move(body));
     }
     if (state_ != State::kBusy) {
       return;
     }
-    skippedBytes_ += skipping_ ? body.size() : 0;
     if (skippedBytes_ > kMaxSkippedBytes || skippedHeads_ > kMaxSkippedHeads) {
       Break("no end of what comes before the answer");
       return;
