--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -24,11 +24,6 @@
 /// Generated tokens count twice in an account's use.
 constexpr std::int64_t kOutputFactor = 2;
 
-auto Part(Duration aDuration, double aPart) -> Duration
-{
-  return std::chrono::duration_cast<Duration>(aDuration * aPart);
-}
-
 } // namespace
 
 auto RejectReasonName(RejectReason aReason) -> std::string_view
@@ -64,7 +59,7 @@
 auto Dispatcher::OnTimeWait(const WorkItem& aItem, Instant aNow)
   -> std::optional<Duration>
 {
-  const auto onTime = Part(aItem.aim_, kOnTimePart);
+  const auto onTime = PartOf(aItem.aim_, kOnTimePart);
   const auto reading = paces_[aItem.service_].ReadingTime(OwnTokens(aItem));
   // A prompt too long for its aim is served late rather than never.
   if (reading >= onTime) {
@@ -85,7 +80,7 @@
   PlaceLimits limits;
   limits.shortestAim_ = LimitingAim(aService);
   limits.pace_ = paces_[aItem.service_];
-  limits.maxBacklog_ = Part(limits.shortestAim_, engines.owedBacklog_);
+  limits.maxBacklog_ = PartOf(limits.shortestAim_, engines.owedBacklog_);
   if (!aItem.goesOn_) {
     limits.maxWait_ = OnTimeWait(aItem, aNow);
   }
@@ -93,12 +88,12 @@
     case ShareStanding::kOwed:
       break;
     case ShareStanding::kFair:
-      limits.maxBacklog_ = Part(limits.shortestAim_, engines.fairBacklog_);
+      limits.maxBacklog_ = PartOf(limits.shortestAim_, engines.fairBacklog_);
       break;
     case ShareStanding::kBeyond:
       limits.maxBacklog_ =
-        Part(limits.shortestAim_, IsPressed(aNow) ? engines.pressedBacklog_
-                                                  : engines.beyondBacklog_);
+        PartOf(limits.shortestAim_, IsPressed(aNow) ? engines.pressedBacklog_
+                                                    : engines.beyondBacklog_);
       limits.maxSlotUse_ = IsPressed(aNow) ? kPressedSlots : kLesserSlots;
       break;
   }
@@ -211,7 +206,7 @@
 {
   const auto* service = table_->FindService(aItem.service_);
   const Duration aim = service == nullptr ? kUsualAim : LimitingAim(*service);
-  return Part(aim, policy_.Waits().returnAim_);
+  return PartOf(aim, policy_.Waits().returnAim_);
 }
 
 auto Dispatcher::NoteSaturated(Instant aNow) -> void
@@ -245,7 +240,7 @@
 {
   const auto first = std::min<Duration>(FirstReturn(aItem), kMaxRetryAfter);
   const auto latest = std::clamp<Duration>(
-    Part(aItem.deadline_ - aNow, policy_.Waits().returnPatience_), first,
+    PartOf(aItem.deadline_ - aNow, policy_.Waits().returnPatience_), first,
     kMaxRetryAfter);
   if (!policy_.Has(Mechanism::kSpreadReturns)) {
     return (first + latest) / 2;
@@ -262,7 +257,7 @@
   }
   return aItem.arrival_ + (aItem.goesOn_
                              ? Duration(kGoesOnWait)
-                             : Part(aItem.aim_, policy_.Waits().waitPart_));
+                             : PartOf(aItem.aim_, policy_.Waits().waitPart_));
 }
 
 auto Dispatcher::IsHopeless(const RejectWork& aRefusal,
--- a/src/process/forwarding/dispatcher.h
+++ b/src/process/forwarding/dispatcher.h
@@ -172,7 +172,8 @@
                  const RoutedService& aService,
                  ShareStanding aStanding,
                  Instant aNow) -> PlaceLimits;
-  /// How an engine of the service stands against its share of the pool.
+  /// How the request's account stands against its share of the pool; plain
+  /// services have no shares.
   auto StandingOf(const WorkItem& aItem,
                   const RoutedService& aService,
                   Instant aNow) -> ShareStanding;
--- a/src/process/forwarding/placement.cpp
+++ b/src/process/forwarding/placement.cpp
@@ -42,11 +42,6 @@
     std::chrono::duration<double, std::milli>(aMillis));
 }
 
-auto PartOf(Duration aDuration, double aPart) -> Duration
-{
-  return std::chrono::duration_cast<Duration>(aDuration * aPart);
-}
-
 auto HasTried(const WorkItem& aItem, TargetId aTarget) -> bool
 {
   return std::find(aItem.tried_.begin(), aItem.tried_.end(), aTarget) !=
--- a/src/process/forwarding/policy.cpp
+++ b/src/process/forwarding/policy.cpp
@@ -52,6 +52,11 @@
   return std::nullopt;
 }
 
+auto PartOf(Duration aDuration, double aPart) -> Duration
+{
+  return std::chrono::duration_cast<Duration>(aDuration * aPart);
+}
+
 auto ForwardingPolicy::Has(Mechanism aMechanism) const -> bool
 {
   return !absent_.test(static_cast<std::size_t>(aMechanism));
--- a/src/process/forwarding/policy.h
+++ b/src/process/forwarding/policy.h
@@ -1,6 +1,8 @@
 #ifndef BURDOCKRING_PROCESS_FORWARDING_POLICY_H
 #define BURDOCKRING_PROCESS_FORWARDING_POLICY_H
 
+#include "base/time.h"
+
 #include <bitset>
 #include <cstddef>
 #include <optional>
@@ -57,6 +59,9 @@
 auto MechanismName(Mechanism aMechanism) -> std::string_view;
 auto MechanismByName(std::string_view aName) -> std::optional<Mechanism>;
 
+/// A part of a time, as of an aim.
+auto PartOf(Duration aDuration, double aPart) -> Duration;
+
 /// What may stand before a request at an engine, and what else speaks against
 /// one, as parts of the shortest aim of the service's streams: the same limits
 /// then fit engines and callers of any speed.
