Test that a clump that was turned away comes back soon and spread

Change: its bounds are those of the policy now, half of the shortest aim and 0.15 of the patience; a new test replays a clump of 100 and also bounds the spread.

--- a/tests/process/forwarding/dispatcher_test.cpp
+++ b/tests/process/forwarding/dispatcher_test.cpp
@@ -120,8 +120,34 @@
   TakeStarts(&rejects);
   ASSERT_EQ(rejects.size(), 1U);
   EXPECT_EQ(rejects[0].reason_, RejectReason::kNoRoom);
-  EXPECT_GE(rejects[0].retryAfter_, 500ms);
-  EXPECT_LE(rejects[0].retryAfter_, 4s);
+  EXPECT_GE(rejects[0].retryAfter_, 150ms);
+  EXPECT_LE(rejects[0].retryAfter_, 2250ms);
+}
+
+// Load pattern: a clump that finds no room, whose backlog drains soon.
+TEST_F(DispatcherTest, ClumpThatIsTurnedAwayComesBackSoonAndSpread)
+{
+  SetUpPool(1, 1, false);
+  std::vector<RejectWork> rejects;
+  for (int i = 0; i < 100; ++i) {
+    dispatcher_->Submit(MakeItem("a", 0, 10, 0, 1s), 1s);
+  }
+  dispatcher_->Pump(1s + 170ms);
+  TakeStarts(&rejects);
+  ASSERT_EQ(rejects.size(), 99U);
+  int soon = 0;
+  Duration earliest = 10s;
+  Duration latest{};
+  for (const auto& reject : rejects) {
+    // Half of the shortest aim, and 0.15 of the 15 s that callers wait.
+    EXPECT_GE(reject.retryAfter_, 150ms);
+    EXPECT_LE(reject.retryAfter_, 2250ms);
+    earliest = std::min(earliest, reject.retryAfter_);
+    latest = std::max(latest, reject.retryAfter_);
+    soon += reject.retryAfter_ < 1250ms ? 1 : 0;
+  }
+  EXPECT_GE(soon, 33);
+  EXPECT_GE(latest - earliest, 1500ms);
 }
 
 TEST_F(DispatcherTest, NoTargetIsToldAsSuch)
