Log what placements go by: shares once a second, pace of engines, standing of refusals

A refusal named neither the account's standing nor the lead that decided, and no line told the level of shares or what a lead takes engines to do. Change: turned_away has both (the standing comes back with a lead's answer, in a field that refusals had left empty); share_levels and engine_pace, a line a second at most where something was decided.

--- a/src/process/forwarding/account_shares.cpp
+++ b/src/process/forwarding/account_shares.cpp
@@ -91,28 +91,29 @@
   Advance(aNow);
   SumPeers(aNow);
   std::map<AccountId, std::int64_t> sums;
-  std::int64_t given = 0;
+  levels_ = {};
   for (const auto& entry : own_) {
     sums[entry.first] += entry.second.sum_.asked_;
-    given += entry.second.sum_.given_;
+    levels_.given_ += entry.second.sum_.given_;
   }
   for (const auto& entry : peerSums_) {
     sums[entry.first] += entry.second.asked_;
-    given += entry.second.given_;
+    levels_.given_ += entry.second.given_;
   }
   std::vector<double> asked;
   for (const auto& entry : sums) {
     asked.push_back(static_cast<double>(entry.second));
+    levels_.asked_ += entry.second;
   }
   std::sort(asked.begin(), asked.end());
-  const double now = static_cast<double>(given);
+  const double now = static_cast<double>(levels_.given_);
   double sure =
     tokensPerSecond_ * std::chrono::duration<double>(kWindow).count();
   if (aNow < saturatedUntil_) {
     sure = std::min(sure, now * kGrowth);
   }
-  owedLevel_ = FindLevel(asked, sure);
-  fairLevel_ = FindLevel(asked, std::max(sure, now));
+  levels_.owed_ = FindLevel(asked, sure);
+  levels_.fair_ = FindLevel(asked, std::max(sure, now));
 }
 
 auto AccountShares::Total(AccountId aAccount) const -> Amounts
@@ -189,10 +190,10 @@
   }
   RefreshLevels(aNow);
   const auto with = static_cast<double>(Total(aAccount).given_ + aTokens);
-  if (with <= owedLevel_) {
+  if (with <= levels_.owed_) {
     return ShareStanding::kOwed;
   }
-  return with <= fairLevel_ ? ShareStanding::kFair : ShareStanding::kBeyond;
+  return with <= levels_.fair_ ? ShareStanding::kFair : ShareStanding::kBeyond;
 }
 
 auto AccountShares::UseOfShare(AccountId aAccount, Instant aNow) -> double
@@ -201,7 +202,12 @@
     return 0;
   }
   RefreshLevels(aNow);
-  return static_cast<double>(Total(aAccount).given_) / fairLevel_;
+  return static_cast<double>(Total(aAccount).given_) / levels_.fair_;
+}
+
+auto AccountShares::CurrentLevels() const -> const Levels&
+{
+  return levels_;
 }
 
 auto AccountShares::OwnUse(Instant aNow) -> std::vector<wire::AccountUse>
--- a/src/process/forwarding/account_shares.h
+++ b/src/process/forwarding/account_shares.h
@@ -45,6 +45,16 @@
   /// Span over which the shares are owed.
   static constexpr Duration kWindow = 4s;
 
+  /// Sums of a window over all routers, in tokens, and the shares that follow.
+  struct Levels
+  {
+    std::int64_t asked_ = 0;
+    std::int64_t given_ = 0;
+    /// What one account may have of what is sure, and of what is given now.
+    double owed_ = 0;
+    double fair_ = 0;
+  };
+
 private:
   static constexpr std::size_t kBuckets = 8;
   static constexpr Duration kBucketSpan = kWindow / kBuckets;
@@ -82,9 +92,7 @@
   std::map<AccountId, Amounts> peerSums_;
   std::int64_t bucket_ = 0;
   Instant lastLevel_{};
-  /// Levels of what is sure and of what is given now.
-  double owedLevel_ = 0;
-  double fairLevel_ = 0;
+  Levels levels_;
 
   auto Advance(Instant aNow) -> void;
   auto SumPeers(Instant aNow) -> void;
@@ -111,6 +119,8 @@
     -> ShareStanding;
   /// What the account was given over its fair level.
   auto UseOfShare(AccountId aAccount, Instant aNow) -> double;
+  /// As of the last question for a standing.
+  [[nodiscard]] auto CurrentLevels() const -> const Levels&;
   /// This router's own part, for the peers.
   auto OwnUse(Instant aNow) -> std::vector<wire::AccountUse>;
 };
--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -173,6 +173,7 @@
   }
   runs_[aItem.id_] = run;
   loadChanged_ = true;
+  ++decisions_;
   verdicts_.emplace_back(StartWork{ aItem.id_, aCandidate.target_,
                                     aCandidate.wait_, aCandidate.copyFrom_,
                                     aCandidate.adds_, aStanding });
@@ -220,10 +221,10 @@
                         RejectWork aRefusal,
                         Instant aNow) -> void
 {
+  aRefusal.standing_ = shares_.Standing(aItem.account_, Tokens(aItem), aNow);
   const bool standsBack = aItem.goesOn_ ||
                           aRefusal.reason_ == RejectReason::kOverShare ||
-                          shares_.Standing(aItem.account_, Tokens(aItem),
-                                           aNow) == ShareStanding::kBeyond;
+                          aRefusal.standing_ == ShareStanding::kBeyond;
   if (!standsBack) {
     ownPressedUntil_ = aNow + kPressedTime;
     NoteSaturated(aNow);
@@ -233,6 +234,7 @@
     // Spread behind the end of the rest, as all would come at once.
     aRefusal.retryAfter_ += aRefusal.expectedWait_ - FirstReturn(aItem);
   }
+  ++decisions_;
   verdicts_.emplace_back(aRefusal);
 }
 
@@ -525,4 +527,27 @@
   return loads_;
 }
 
+auto Dispatcher::EngineBeliefs() const -> std::vector<EngineBelief>
+{
+  std::vector<EngineBelief> beliefs;
+  for (const auto& entry : paces_) {
+    const auto* service = table_->FindService(entry.first);
+    if (service != nullptr && service->isEngine_) {
+      beliefs.push_back({ entry.first, entry.second.MsPerToken(),
+                          entry.second.FirstEventTime() });
+    }
+  }
+  return beliefs;
+}
+
+auto Dispatcher::ShareLevels() const -> const AccountShares::Levels&
+{
+  return shares_.CurrentLevels();
+}
+
+auto Dispatcher::DecisionCount() const -> std::int64_t
+{
+  return decisions_;
+}
+
 } // namespace burdockring
--- a/src/process/forwarding/dispatcher.h
+++ b/src/process/forwarding/dispatcher.h
@@ -51,6 +51,10 @@
   RejectReason reason_ = RejectReason::kNoRoom;
   Duration retryAfter_{};
   Duration expectedWait_{};
+  /// How its account stood against its share.
+  ShareStanding standing_ = ShareStanding::kOwed;
+  /// The lead that decided so; nothing for this router itself.
+  std::optional<RouterId> decidedBy_;
 };
 
 using DispatchVerdict = std::variant<StartWork, RejectWork>;
@@ -71,6 +75,14 @@
 
 constexpr int kRunEndCount = 5;
 
+/// What placements at a service's engines go by.
+struct EngineBelief
+{
+  ServiceId service_;
+  double msPerToken_ = 0;
+  Duration firstEventTime_{};
+};
+
 /// Decides which request starts, waits or is turned away, and where it runs.
 /// No I/O: requests and what became of them go in, verdicts come out.
 ///
@@ -160,6 +172,7 @@
   Instant lastFullLook_{};
   /// Whether the own load has changed since the last report.
   bool loadChanged_ = false;
+  std::int64_t decisions_ = 0;
 
   auto TargetsOf(ServiceId aService) -> const std::vector<UsableTarget>&;
   /// Puts those first whose account has used the least part of its share.
@@ -245,6 +258,10 @@
   [[nodiscard]] auto WaitingCount() const -> std::size_t;
   [[nodiscard]] auto RunningCount() const -> std::size_t;
   [[nodiscard]] auto Loads() const -> const LoadBook&;
+  [[nodiscard]] auto EngineBeliefs() const -> std::vector<EngineBelief>;
+  [[nodiscard]] auto ShareLevels() const -> const AccountShares::Levels&;
+  /// Requests that were started or turned away since the process started.
+  [[nodiscard]] auto DecisionCount() const -> std::int64_t;
 };
 
 } // namespace burdockring
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -302,13 +302,13 @@
   placements_.Submit(std::move(item), aNow);
 }
 
-auto ForwardingNode::NameOfLead(RequestId aRequest) const -> std::string_view
+auto ForwardingNode::NameOfLead(std::optional<RouterId> aLead) const
+  -> std::string_view
 {
-  const auto lead = placements_.LeadOf(aRequest);
-  if (!lead) {
+  if (!aLead) {
     return peers_.Peers().Self().name_;
   }
-  const auto peer = peers_.Peers().Peers().find(*lead);
+  const auto peer = peers_.Peers().Peers().find(*aLead);
   return peer == peers_.Peers().Peers().end()
            ? std::string_view("unlisted")
            : std::string_view(peer->second.address_.name_);
@@ -319,18 +319,19 @@
                              const ListedTarget& aTarget,
                              Instant aNow) -> void
 {
-  log_->Write("sent",
-              { { "request", aRequest.arrival_.facts_.attemptId_ },
-                { "attempt", std::int64_t{ aRequest.attempt_ } },
-                { "target", aTarget.instance_ },
-                { "account", aRequest.account_ },
-                { "standing", ShareStandingName(aVerdict.standing_) },
-                { "placed_by", NameOfLead(aVerdict.request_) },
-                { "reads", std::int64_t{ aVerdict.adds_.prefillTokens_ } },
-                { "copies", std::int64_t{ aVerdict.copyFrom_ ? 1 : 0 } },
-                { "expected_ms", ToMillis(aVerdict.expectedWait_) },
-                { "waited_ms", ToMillis(aNow - aRequest.arrival_.received_) },
-                { "version", aRequest.table_->Version() } });
+  log_->Write(
+    "sent",
+    { { "request", aRequest.arrival_.facts_.attemptId_ },
+      { "attempt", std::int64_t{ aRequest.attempt_ } },
+      { "target", aTarget.instance_ },
+      { "account", aRequest.account_ },
+      { "standing", ShareStandingName(aVerdict.standing_) },
+      { "placed_by", NameOfLead(placements_.LeadOf(aVerdict.request_)) },
+      { "reads", std::int64_t{ aVerdict.adds_.prefillTokens_ } },
+      { "copies", std::int64_t{ aVerdict.copyFrom_ ? 1 : 0 } },
+      { "expected_ms", ToMillis(aVerdict.expectedWait_) },
+      { "waited_ms", ToMillis(aNow - aRequest.arrival_.received_) },
+      { "version", aRequest.table_->Version() } });
 }
 
 auto ForwardingNode::Apply(const StartWork& aVerdict, Instant aNow) -> void
@@ -397,6 +398,8 @@
                 { "status", std::int64_t{ status } },
                 { "route", route },
                 { "account", account },
+                { "standing", ShareStandingName(aVerdict.standing_) },
+                { "placed_by", NameOfLead(aVerdict.decidedBy_) },
                 { "expected_ms", ToMillis(aVerdict.expectedWait_) },
                 { "waited_ms", ToMillis(waited) },
                 { "retry_after_ms", ToMillis(aVerdict.retryAfter_) },
@@ -442,6 +445,7 @@
            aOptions.policy_)
   , placements_(&dispatcher_, &peers_.Peers(), aLog)
   , placementServer_(&dispatcher_)
+  , beliefLog_(&dispatcher_, aLog)
   , capacity_(aOptions.policy_)
 {
 }
@@ -782,6 +786,7 @@
   dispatcher_.Pump(aNow);
   TakeVerdicts(aNow);
   peers_.Tick(aNow);
+  beliefLog_.Tick(aNow);
   LogChanges();
 }
 
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -1,6 +1,7 @@
 #ifndef BURDOCKRING_PROCESS_FORWARDING_FORWARDING_NODE_H
 #define BURDOCKRING_PROCESS_FORWARDING_FORWARDING_NODE_H
 
+#include "process/forwarding/belief_log.h"
 #include "process/forwarding/config_in_force.h"
 #include "process/forwarding/dispatcher.h"
 #include "process/forwarding/event_log.h"
@@ -141,6 +142,7 @@
   PeerExchange peers_;
   PlacementClient placements_;
   PlacementServer placementServer_;
+  BeliefLog beliefLog_;
   OwnCapacity capacity_;
   StoreEpoch storeEpoch_;
   /// Whether a list of the routers has come yet.
@@ -185,8 +187,9 @@
                const StartWork& aVerdict,
                const ListedTarget& aTarget,
                Instant aNow) -> void;
-  /// The router that decides where the request runs.
-  [[nodiscard]] auto NameOfLead(RequestId aRequest) const -> std::string_view;
+  /// The name of a lead, or this router's own where none is given.
+  [[nodiscard]] auto NameOfLead(std::optional<RouterId> aLead) const
+    -> std::string_view;
   /// Whether this router itself heard that the target takes nothing now.
   [[nodiscard]] auto TakesNothing(TargetId aTarget, Instant aNow) const -> bool;
   /// Has a request placed anew whose target takes nothing.
--- a/src/process/forwarding/placement_client.cpp
+++ b/src/process/forwarding/placement_client.cpp
@@ -100,7 +100,7 @@
   if (ask.lead_ != aFrom) {
     return;
   }
-  const auto verdict = DecodeVerdict(aAnswer, number->second);
+  auto verdict = DecodeVerdict(aAnswer, number->second);
   if (!verdict) {
     ask.waits_ = true;
     ask.answerBy_ =
@@ -111,6 +111,8 @@
     runs_[number->second] = { ask.number_, aFrom, start->target_, start->adds_,
                               false };
     leads_[aFrom].hasRuns_ = true;
+  } else {
+    std::get<RejectWork>(*verdict).decidedBy_ = aFrom;
   }
   verdicts_.push_back(*verdict);
   asks_.erase(number->second);
--- a/src/process/forwarding/placement_wire.cpp
+++ b/src/process/forwarding/placement_wire.cpp
@@ -45,6 +45,12 @@
   return std::clamp(aTokens, 0, kMostTokens);
 }
 
+auto StandingOf(const wire::PlaceAnswer& aAnswer) -> ShareStanding
+{
+  return static_cast<ShareStanding>(
+    std::clamp(aAnswer.standing, 0, kLastStanding));
+}
+
 auto IsReason(std::int32_t aNumber) -> bool
 {
   return aNumber >= 0 &&
@@ -120,6 +126,7 @@
   const auto& reject = std::get<RejectWork>(aVerdict);
   answer.outcome = static_cast<std::int32_t>(PlaceOutcome::kRejected);
   answer.reason = static_cast<std::int32_t>(reject.reason_);
+  answer.standing = static_cast<std::int32_t>(reject.standing_);
   answer.expectedWaitMicros = reject.expectedWait_.count();
   answer.retryAfterMicros = reject.retryAfter_.count();
   return answer;
@@ -138,8 +145,7 @@
     start.expectedWait_ = SpanOf(aAnswer.expectedWaitMicros);
     start.adds_ = { 1, TokensOf(aAnswer.prefillTokens),
                     TokensOf(aAnswer.memoryTokens) };
-    start.standing_ = static_cast<ShareStanding>(
-      std::clamp(aAnswer.standing, 0, kLastStanding));
+    start.standing_ = StandingOf(aAnswer);
     return start;
   }
   if (aAnswer.outcome != static_cast<std::int32_t>(PlaceOutcome::kRejected) ||
@@ -149,6 +155,7 @@
   RejectWork reject;
   reject.request_ = aRequest;
   reject.reason_ = static_cast<RejectReason>(aAnswer.reason);
+  reject.standing_ = StandingOf(aAnswer);
   reject.expectedWait_ = SpanOf(aAnswer.expectedWaitMicros);
   reject.retryAfter_ = SpanOf(aAnswer.retryAfterMicros);
   return reject;
--- a/tests/process/forwarding/lead_placement_test.cpp
+++ b/tests/process/forwarding/lead_placement_test.cpp
@@ -169,6 +169,16 @@
   EXPECT_EQ(back->tried_, item.tried_);
 }
 
+TEST(PlacementWireTest, RefusalTellsHowTheAccountStood)
+{
+  RejectWork reject;
+  reject.reason_ = RejectReason::kLate;
+  reject.standing_ = ShareStanding::kBeyond;
+  const auto back = DecodeVerdict(EncodeVerdict(reject, 12), 9);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(std::get<RejectWork>(*back).standing_, ShareStanding::kBeyond);
+}
+
 TEST(PlacementWireTest, MessagesThatMakeNoSenseAreRefused)
 {
   wire::PlaceAsk ask;
