--- a/src/process/forwarding/account_shares.h
+++ b/src/process/forwarding/account_shares.h
@@ -61,8 +61,10 @@
   /// A peer that was silent for so long is left out.
   static constexpr Duration kPeerLife = 1500ms;
   /// What a full pool may come to give within a window, as a multiple of what
-  /// it gave in the last: room for a pool that is full in places only.
-  static constexpr double kGrowth = 1.5;
+  /// it gave in the last: room for a pool that is full in places only. Three of
+  /// four accounts at this multiple of their share leave the fourth over half
+  /// of its own, which is what accounts are promised.
+  static constexpr double kGrowth = 1.15;
   /// How often the level is worked out anew.
   static constexpr Duration kLevelInterval = 50ms;
 
