A new request goes behind those that wait whose account was given less (FAIR)

What callers saw: requests of an account that had little waited and were turned away, while room that appeared meanwhile went to new requests of one that had much. Cause: Submit tried each new request at once; only Pump went by shares, and what waits was ordered by a part of a level that is without bound in a pool that is not full, so by nothing. The class: an order that holds on one of two ways in. Change: a new request joins those that wait for the same engines if one of them is of an account that was given less; order goes by what was given alone. Test: DispatcherTest.RoomGoesToTheWaitingAccountThatHadLess failed before.

--- a/src/process/forwarding/account_shares.cpp
+++ b/src/process/forwarding/account_shares.cpp
@@ -196,13 +196,10 @@
   return with <= levels_.fair_ ? ShareStanding::kFair : ShareStanding::kBeyond;
 }
 
-auto AccountShares::UseOfShare(AccountId aAccount, Instant aNow) -> double
+auto AccountShares::Given(AccountId aAccount, Instant aNow) -> std::int64_t
 {
-  if (tokensPerSecond_ <= 0) {
-    return 0;
-  }
   RefreshLevels(aNow);
-  return static_cast<double>(Total(aAccount).given_) / levels_.fair_;
+  return Total(aAccount).given_;
 }
 
 auto AccountShares::CurrentLevels() const -> const Levels&
--- a/src/process/forwarding/account_shares.h
+++ b/src/process/forwarding/account_shares.h
@@ -119,8 +119,8 @@
   /// How the account would stand with so much more.
   auto Standing(AccountId aAccount, std::int64_t aTokens, Instant aNow)
     -> ShareStanding;
-  /// What the account was given over its fair level.
-  auto UseOfShare(AccountId aAccount, Instant aNow) -> double;
+  /// What the account was given in the last window, in tokens.
+  auto Given(AccountId aAccount, Instant aNow) -> std::int64_t;
   /// As of the last question for a standing.
   [[nodiscard]] auto CurrentLevels() const -> const Levels&;
   /// This router's own part, for the peers.
--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -299,12 +299,17 @@
   if (!aItem.goesOn_ && aItem.tried_.empty()) {
     shares_.Ask(aItem.account_, Tokens(aItem), aNow);
   }
+  const auto giveUpAt = GiveUpTime(aItem);
+  if (giveUpAt > aNow && IsBehindOthers(aItem, aNow)) {
+    mayHaveRoom_ = true;
+    waiting_.push_back({ std::move(aItem), giveUpAt, 0 });
+    return;
+  }
   RejectWork refusal;
   refusal.request_ = aItem.id_;
   if (TryStart(aItem, aNow, &refusal)) {
     return;
   }
-  const auto giveUpAt = GiveUpTime(aItem);
   if (giveUpAt <= aNow || IsHopeless(refusal, giveUpAt, aNow)) {
     Reject(aItem, refusal, aNow);
     return;
@@ -312,6 +317,20 @@
   waiting_.push_back({ std::move(aItem), giveUpAt, 0 });
 }
 
+auto Dispatcher::IsBehindOthers(const WorkItem& aItem, Instant aNow) -> bool
+{
+  const auto* service = table_->FindService(aItem.service_);
+  if (waiting_.empty() || service == nullptr || !service->isEngine_) {
+    return false;
+  }
+  const auto given = shares_.Given(aItem.account_, aNow);
+  return std::any_of(
+    waiting_.begin(), waiting_.end(), [&](const Waiting& aWaiting) {
+      return aWaiting.item_.service_ == aItem.service_ &&
+             shares_.Given(aWaiting.item_.account_, aNow) < given;
+    });
+}
+
 auto Dispatcher::Withdraw(RequestId aRequest) -> void
 {
   std::erase_if(waiting_, [&](const Waiting& aWaiting) {
@@ -449,11 +468,11 @@
 auto Dispatcher::SortWaiting(Instant aNow) -> void
 {
   for (auto& waiting : waiting_) {
-    waiting.useOfShare_ = shares_.UseOfShare(waiting.item_.account_, aNow);
+    waiting.given_ = shares_.Given(waiting.item_.account_, aNow);
   }
   std::stable_sort(waiting_.begin(), waiting_.end(),
                    [](const Waiting& aLeft, const Waiting& aRight) {
-                     return aLeft.useOfShare_ < aRight.useOfShare_;
+                     return aLeft.given_ < aRight.given_;
                    });
 }
 
--- a/src/process/forwarding/dispatcher.h
+++ b/src/process/forwarding/dispatcher.h
@@ -142,8 +142,8 @@
   {
     WorkItem item_;
     Instant giveUpAt_{};
-    /// Of the account's share, as of the last look.
-    double useOfShare_ = 0;
+    /// What the account had been given as of the last look, in tokens.
+    std::int64_t given_ = 0;
   };
 
   TargetDirectory* directory_;
@@ -175,7 +175,7 @@
   std::int64_t decisions_ = 0;
 
   auto TargetsOf(ServiceId aService) -> const std::vector<UsableTarget>&;
-  /// Puts those first whose account has used the least part of its share.
+  /// Puts those first whose account was given least.
   auto SortWaiting(Instant aNow) -> void;
   /// Longest wait for a first event on time; nothing where none can be.
   auto OnTimeWait(const WorkItem& aItem, Instant aNow)
@@ -185,6 +185,8 @@
                  const RoutedService& aService,
                  ShareStanding aStanding,
                  Instant aNow) -> PlaceLimits;
+  /// Whether a request for the same engines waits whose account was given less.
+  auto IsBehindOthers(const WorkItem& aItem, Instant aNow) -> bool;
   /// How the request's account stands against its share of the pool; plain
   /// services have no shares.
   auto StandingOf(const WorkItem& aItem,
--- a/tests/process/forwarding/dispatcher_test.cpp
+++ b/tests/process/forwarding/dispatcher_test.cpp
@@ -286,6 +286,21 @@
   EXPECT_GE(begun["small"], asked * 8 / 10);
 }
 
+// Incident FAIR: room went to who came when it appeared.
+TEST_F(DispatcherTest, RoomGoesToTheWaitingAccountThatHadLess)
+{
+  SetUpPool(1, 1, true, 10'000'000);
+  dispatcher_->Submit(MakeItem("flood", 0, 3000, 0, 1s), 1s);
+  dispatcher_->Submit(MakeItem("small", 0, 2000, 0, 1s), 1s);
+  EXPECT_EQ(TakeStarts().size(), 1U);
+  dispatcher_->OnRunEnd(1, RunEnd::kWhole, 1050ms);
+  dispatcher_->Submit(MakeItem("flood", 0, 3000, 0, 1050ms), 1050ms);
+  dispatcher_->Pump(1050ms);
+  const auto starts = TakeStarts();
+  EXPECT_TRUE(starts.contains(2));
+  EXPECT_FALSE(starts.contains(3));
+}
+
 // Load pattern: all engines of a service turn requests away for some time.
 TEST_F(DispatcherTest, WhereAllTargetsRestRequestsAreTurnedAwayAtOnce)
 {
