Serve late what no engine could serve on time, whatever the reason

Cause: a prompt too long for its aim is served late rather than never, but that went by its reading alone. Where the learned time of a first event was over the aim, every request was refused for good, and a belief that refuses everything learns nothing. Test: DispatcherTest.WhatNoEngineCouldServeOnTimeIsServedLate failed before.

--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -60,9 +60,9 @@
   -> std::optional<Duration>
 {
   const auto onTime = PartOf(aItem.aim_, kOnTimePart);
-  const auto reading = paces_[aItem.service_].ReadingTime(OwnTokens(aItem));
-  // A prompt too long for its aim is served late rather than never.
-  if (reading >= onTime) {
+  const auto& pace = paces_[aItem.service_];
+  // What no engine could serve on time is served late rather than never.
+  if (pace.FirstEventTime() + pace.ReadingTime(OwnTokens(aItem)) >= onTime) {
     return std::nullopt;
   }
   return onTime - (aNow - aItem.arrival_);
--- a/tests/process/forwarding/dispatcher_test.cpp
+++ b/tests/process/forwarding/dispatcher_test.cpp
@@ -301,6 +301,27 @@
   EXPECT_FALSE(starts.contains(3));
 }
 
+// Incident FAIR: a lead whose first events all came late refused everything,
+// at idle engines, to the end of the day.
+TEST_F(DispatcherTest, WhatNoEngineCouldServeOnTimeIsServedLate)
+{
+  SetUpPool(2, 64, true);
+  Instant now = 1s;
+  for (int i = 0; i < 200; ++i) {
+    auto item = MakeItem("a", 0, 500, 0, now);
+    item.aim_ = 5s;
+    dispatcher_->Submit(item, now);
+    now += 500ms;
+    dispatcher_->OnFirstEvent(item.id_, now);
+    dispatcher_->OnRunEnd(item.id_, RunEnd::kWhole, now);
+  }
+  TakeStarts();
+  auto item = MakeItem("a", 0, 500, 0, now);
+  item.aim_ = 400ms;
+  dispatcher_->Submit(item, now);
+  EXPECT_TRUE(TakeStarts().contains(item.id_));
+}
+
 // Load pattern: all engines of a service turn requests away for some time.
 TEST_F(DispatcherTest, WhereAllTargetsRestRequestsAreTurnedAwayAtOnce)
 {
