--- a/src/process/forwarding/placement.cpp
+++ b/src/process/forwarding/placement.cpp
@@ -200,10 +200,11 @@
                          aService.memoryTokens_ <= 0 || total.running_ == 0 ||
                          memory <= kMemoryPart * aService.memoryTokens_;
   candidate.hasSlot_ = hasMemory && total.running_ < slots;
-  candidate.fits_ =
-    candidate.hasSlot_ && candidate.backlog_ <= aLimits.maxBacklog_ &&
-    (!aLimits.maxWait_ || candidate.wait_ <= *aLimits.maxWait_) &&
-    total.running_ < aLimits.maxSlotUse_ * slots;
+  candidate.fits_ = candidate.hasSlot_ &&
+                    candidate.backlog_ <= aLimits.maxBacklog_ &&
+                    (candidate.backlog_ == 0us || !aLimits.maxWait_ ||
+                     candidate.wait_ <= *aLimits.maxWait_) &&
+                    total.running_ < aLimits.maxSlotUse_ * slots;
   return candidate;
 }
 
--- a/tests/process/forwarding/dispatcher_test.cpp
+++ b/tests/process/forwarding/dispatcher_test.cpp
@@ -322,6 +322,30 @@
   EXPECT_TRUE(TakeStarts().contains(item.id_));
 }
 
+// Incident FAIR: a lead that held reading for slow refused what idle engines
+// would have served.
+TEST_F(DispatcherTest, EngineBeforeWhichNothingWaitsRefusesNothingAsLate)
+{
+  SetUpPool(1, 64, true);
+  const Instant now = 1s;
+  auto item = MakeItem("a", 0, 5000, 0, now);
+  item.aim_ = 400ms;
+  // What is left of the aim is less than reading takes.
+  item.arrival_ = now - 300ms;
+  item.goesOn_ = false;
+  dispatcher_->Submit(item, now);
+  EXPECT_TRUE(TakeStarts().contains(item.id_));
+  // Behind that, the same is late.
+  auto next = MakeItem("a", 0, 5000, 0, now);
+  next.aim_ = 400ms;
+  next.arrival_ = now - 300ms;
+  dispatcher_->Submit(next, now);
+  std::vector<RejectWork> rejects;
+  EXPECT_TRUE(TakeStarts(&rejects).empty());
+  ASSERT_EQ(rejects.size(), 1U);
+  EXPECT_EQ(rejects[0].reason_, RejectReason::kLate);
+}
+
 // Load pattern: all engines of a service turn requests away for some time.
 TEST_F(DispatcherTest, WhereAllTargetsRestRequestsAreTurnedAwayAtOnce)
 {
