--- a/src/process/forwarding/placement.h
+++ b/src/process/forwarding/placement.h
@@ -44,7 +44,8 @@
   /// Most that may wait ahead of the request.
   Duration maxBacklog_{};
   /// Longest time to the first event; none for a prompt that takes longer to
-  /// read than its aim allows.
+  /// read than its aim allows. Not asked of an engine before which nothing
+  /// waits, as the request could not be served sooner.
   std::optional<Duration> maxWait_;
   /// Part of the target's slots that may be in use.
   double maxSlotUse_ = 1.0;
