--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "process/forwarding/dispatcher.h"
 
+#include "process/forwarding/part_ids.h"
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -172,12 +174,8 @@
   if (aService.isEngine_) {
     for (const auto& part : aItem.parts_) {
       load.OnPartSent(part.id_, aNow);
-      run.parts_.push_back(part.id_);
-    }
-    if (!run.parts_.empty()) {
-      // The last part belongs to this request only.
-      run.parts_.pop_back();
     }
+    run.parts_ = SharedPartIds(aItem.parts_);
     run.account_ = aItem.account_;
     run.chargedTokens_ = ChargedTokens(aItem);
     shares_.Charge(run.account_, run.chargedTokens_, aNow);
--- a/src/process/forwarding/placement_wire.cpp
+++ b/src/process/forwarding/placement_wire.cpp
@@ -1,12 +1,12 @@
 #include "process/forwarding/placement_wire.h"
 
+#include "process/forwarding/part_ids.h"
+
 #include <algorithm>
 
 namespace burdockring {
 namespace {
 
-constexpr std::size_t kPartBytes = 8;
-constexpr unsigned kBitsInByte = 8;
 /// Event codes of a run note: the first event, then the values of RunOutcome
 /// counted from kOutcomeBase.
 constexpr int kFirstEventReceived = 0;
@@ -18,24 +18,6 @@
 /// Token counts in messages are clamped to this.
 constexpr std::int32_t kMaxTokens = 10'000'000;
 
-auto AppendPart(std::string* aBytes, std::uint64_t aPart) -> void
-{
-  for (unsigned i = 0; i < kPartBytes; ++i) {
-    *aBytes += static_cast<char>(aPart >> (i * kBitsInByte));
-  }
-}
-
-auto PartAt(const std::string& aBytes, std::size_t aIndex) -> std::uint64_t
-{
-  std::uint64_t part = 0;
-  for (unsigned i = 0; i < kPartBytes; ++i) {
-    const auto byte =
-      static_cast<unsigned char>(aBytes[aIndex * kPartBytes + i]);
-    part |= std::uint64_t{ byte } << (i * kBitsInByte);
-  }
-  return part;
-}
-
 auto ClampedDuration(std::int64_t aMicros) -> Duration
 {
   return std::clamp<Duration>(Duration(aMicros), -kMaxDuration, kMaxDuration);
@@ -73,10 +55,12 @@
   ask.goesOn = aItem.isContinuation_;
   ask.promptTokens = aItem.promptTokens_;
   ask.outputTokens = aItem.outputTokens_;
+  PartIds parts;
   for (const auto& part : aItem.parts_) {
-    AppendPart(&ask.parts, part.id_);
+    parts.push_back(part.id_);
     ask.partTokens.push_back(part.tokens_);
   }
+  ask.parts = EncodePartIds(parts);
   for (const auto target : aItem.triedTargets_) {
     ask.tried.push_back(target.value_);
   }
@@ -86,7 +70,8 @@
 auto DecodeAsk(const wire::PlaceAsk& aAsk, RequestId aId, Instant aNow)
   -> std::optional<WorkItem>
 {
-  if (aAsk.parts.size() != aAsk.partTokens.size() * kPartBytes) {
+  const auto parts = DecodePartIds(aAsk.parts);
+  if (!parts || parts->size() != aAsk.partTokens.size()) {
     return std::nullopt;
   }
   WorkItem item;
@@ -99,9 +84,8 @@
   item.isContinuation_ = aAsk.goesOn;
   item.promptTokens_ = ClampedTokens(aAsk.promptTokens);
   item.outputTokens_ = ClampedTokens(aAsk.outputTokens);
-  for (std::size_t i = 0; i < aAsk.partTokens.size(); ++i) {
-    item.parts_.push_back(
-      { PartAt(aAsk.parts, i), ClampedTokens(aAsk.partTokens[i]) });
+  for (std::size_t i = 0; i < parts->size(); ++i) {
+    item.parts_.push_back({ (*parts)[i], ClampedTokens(aAsk.partTokens[i]) });
   }
   for (const auto target : aAsk.tried) {
     item.triedTargets_.push_back(TargetId{ target });
