Log which target, account and prompt parts a failed attempt had

The lines of failed attempts could not tell the hypotheses apart: one request retried, many requests with a common part, a weak target, one caller's repeats. They now name the target, whether the answer had begun, the route, the account and the shared parts of the prompt. Three counters say how many attempts broke before their answer began, in it, or unsent.

Logic is unchanged.

--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -351,6 +351,9 @@
   add("retries_total", counters.retries_);
   add("resumes_total", counters.resumes_);
   add("copies_total", counters.copies_);
+  add("attempts_lost_before_answer_total", counters.lostBeforeAnswer_);
+  add("attempts_lost_in_answer_total", counters.lostInAnswer_);
+  add("attempts_unsent_total", counters.unsentFailures_);
   add("stale_keys_total", counters.staleKeyChecks_);
   add("overload_refusals_total", counters.overloadRejections_);
   add("misplaced_total", counters.misplaced_);
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -1,5 +1,7 @@
 #include "process/forwarding/forwarding_node.h"
 
+#include "process/forwarding/part_ids.h"
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -355,6 +357,7 @@
   }
   request->machine_.Process(AttemptStarted{});
   request->attemptActive_ = true;
+  request->attemptBegan_ = false;
   ++request->attempt_;
   request->target_ = aDecision.target_;
   const auto* service = request->table_->FindService(request->item_.service_);
@@ -385,6 +388,41 @@
   effects_.emplace_back(std::move(send));
 }
 
+auto ForwardingNode::CountFailure(const Request& aRequest, AttemptStage aStage)
+  -> void
+{
+  if (aStage == AttemptStage::kUnsent) {
+    ++counters_.unsentFailures_;
+  } else if (aRequest.attemptBegan_) {
+    ++counters_.lostInAnswer_;
+  } else {
+    ++counters_.lostBeforeAnswer_;
+  }
+}
+
+auto ForwardingNode::LogAttemptFailed(const Request& aRequest,
+                                      AttemptStage aStage,
+                                      std::string_view aCause,
+                                      bool aRetries) -> void
+{
+  const auto* target = directory_.Find(aRequest.target_);
+  const auto parts = PartIdsText(SharedPartIds(aRequest.item_.parts_));
+  log_->Write(
+    aRetries ? "retried" : "attempt_failed",
+    { { "request", aRequest.arrival_.facts_.attemptId_ },
+      { "cause", aCause },
+      { "target", target == nullptr ? std::string_view("unlisted")
+                                    : std::string_view(target->instance_) },
+      { "sent", std::int64_t{ aStage == AttemptStage::kUnsent ? 0 : 1 } },
+      { "began", std::int64_t{ aRequest.attemptBegan_ ? 1 : 0 } },
+      { "attempt", std::int64_t{ aRequest.attempt_ } },
+      { "last_event",
+        static_cast<std::int64_t>(aRequest.lastEvent_.value_or(0)) },
+      { "route", aRequest.route_->name_ },
+      { "account", aRequest.account_ },
+      { "parts", parts } });
+}
+
 auto ForwardingNode::Apply(const RejectDecision& aDecision, Instant aNow)
   -> void
 {
@@ -532,6 +570,7 @@
     return;
   }
   request->responseStarted_ = true;
+  request->attemptBegan_ = true;
   placements_.OnFirstEvent(aRequest, aNow);
 }
 
@@ -631,13 +670,8 @@
                  (!request->responseStarted_ ||
                   request->route_->kind_ == RouteKind::kStream) &&
                  TrySpendRetry(*request, aNow);
-  log_->Write(canRetry ? "retried" : "attempt_failed",
-              { { "request", request->arrival_.facts_.attemptId_ },
-                { "cause", aCause },
-                { "sent", std::int64_t{ isUnsent ? 0 : 1 } },
-                { "attempt", std::int64_t{ aAttempt } },
-                { "last_event", static_cast<std::int64_t>(
-                                  request->lastEvent_.value_or(0)) } });
+  CountFailure(*request, aStage);
+  LogAttemptFailed(*request, aStage, aCause, canRetry);
   if (!canRetry) {
     GiveUp(request, kDefaultRetryAfter,
            isUnsent ? "no_connection" : "target_lost");
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -93,6 +93,12 @@
   std::int64_t cancelled_ = 0;
   std::int64_t retries_ = 0;
   std::int64_t resumes_ = 0;
+  /// Attempts that reached a target and broke before their answer began.
+  std::int64_t lostBeforeAnswer_ = 0;
+  /// Attempts that broke after their answer had begun.
+  std::int64_t lostInAnswer_ = 0;
+  /// Attempts that failed before a byte was written.
+  std::int64_t unsentFailures_ = 0;
   /// Requests whose target copies their prefix from another target.
   std::int64_t copies_ = 0;
   std::int64_t staleKeyChecks_ = 0;
@@ -122,6 +128,8 @@
     TargetId target_;
     /// Whether an attempt is in progress.
     bool attemptActive_ = false;
+    /// Whether the answer of the last attempt has begun.
+    bool attemptBegan_ = false;
     /// Attempts that may have reached a target.
     int sentAttempts_ = 0;
     int unsentFailures_ = 0;
@@ -201,6 +209,11 @@
   /// Submits a request again whose selected target is unavailable.
   auto RequestNewPlacement(Request* aRequest, TargetId aTarget, Instant aNow)
     -> void;
+  auto LogAttemptFailed(const Request& aRequest,
+                        AttemptStage aStage,
+                        std::string_view aCause,
+                        bool aRetries) -> void;
+  auto CountFailure(const Request& aRequest, AttemptStage aStage) -> void;
   auto Apply(const RejectDecision& aDecision, Instant aNow) -> void;
   auto ExpireRequests(Instant aNow) -> void;
   auto LogTargetChanges() -> void;
