Failing test: a deadly prompt part reaches engine after engine

Sixteen routers with the real decision code, in virtual time, with lost datagrams; a share of the requests has one part that crashes each engine that begins to answer it.

--- a/tests/support/router_zone.h
+++ b/tests/support/router_zone.h
@@ -5,9 +5,12 @@
 #include "support/forwarding_fixture.h"
 #include "wire/envelope_codec.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +31,20 @@
     double duplicateRate_ = 0;
     std::uint32_t seed_ = 1;
     bool engines_ = true;
+    /// Prompt parts that crash each engine that begins to answer them.
+    std::set<std::uint64_t> deadlyParts_ = {};
+  };
+
+  /// How one request went.
+  struct Outcome
+  {
+    Instant arrived_{};
+    bool isDeadly_ = false;
+    /// When each attempt reached an engine.
+    std::vector<Instant> sent_;
+    bool beganAtFirstAttempt_ = false;
+    /// Status of the error that ended it; 0 without one.
+    int status_ = 0;
   };
 
   /// Time from an attempt to its first event and to its end.
@@ -35,8 +52,13 @@
   static constexpr Duration kRunTime = 200ms;
   static constexpr Duration kStep = 1ms;
   static constexpr int kOtherZones = 5;
+  /// How long a crashed engine refuses connections.
+  static constexpr Duration kEngineRestart = 3s;
 
 private:
+  /// How a refused connection is seen.
+  static constexpr AttemptStage kRefusedStage = AttemptStage::kUnsent;
+
   struct Router
   {
     testing::NiceMock<MockEventLog> log_;
@@ -59,6 +81,13 @@
     TargetId target_;
   };
 
+  /// An attempt whose failure is about to be seen by its router.
+  struct BrokenAttempt
+  {
+    EngineRun run_;
+    AttemptStage stage_ = AttemptStage::kSent;
+  };
+
   Options options_;
   Instant now_ = 1s;
   std::vector<std::unique_ptr<Router>> routers_;
@@ -66,6 +95,11 @@
   std::multimap<Instant, Message> messages_;
   std::multimap<Instant, EngineRun> firstEvents_;
   std::multimap<Instant, EngineRun> ends_;
+  std::multimap<Instant, BrokenAttempt> broken_;
+  /// Engines that refuse connections, with the time until which they do.
+  std::map<TargetId, Instant> down_;
+  std::vector<Instant> crashes_;
+  std::map<RequestId, Outcome> outcomes_;
   std::map<TargetId, int> running_;
   std::map<std::string, std::size_t> hosts_;
   std::mt19937 random_;
@@ -143,8 +177,13 @@
           SendDatagrams(*send);
         } else if (const auto* attempt = std::get_if<SendAttempt>(&effect)) {
           StartRun(aRouter, *attempt);
-        } else if (std::holds_alternative<FailRequest>(effect)) {
+        } else if (const auto* failed = std::get_if<FailRequest>(&effect)) {
           ++failedRequests_;
+          outcomes_[failed->request_].status_ = failed->status_;
+        } else if (const auto* abort = std::get_if<AbortAttempt>(&effect)) {
+          EndRuns([&](const EngineRun& aRun) {
+            return aRun.request_ == abort->request_;
+          });
         }
       }
     }
@@ -156,12 +195,65 @@
     ++starts_;
     const EngineRun run{ aRouter, aAttempt.request_, aAttempt.attempt_,
                          aAttempt.target_ };
+    if (IsDown(run.target_)) {
+      broken_.emplace(now_ + kStep, BrokenAttempt{ run, kRefusedStage });
+      return;
+    }
+    outcomes_[run.request_].sent_.push_back(now_);
     routers_[aRouter]->node_->OnAttemptSent(run.request_, run.attempt_);
     maxRunning_ = std::max(maxRunning_, ++running_[run.target_]);
     firstEvents_.emplace(now_ + kFirstEvent, run);
     ends_.emplace(now_ + kRunTime, run);
   }
 
+  /// Removes the runs that match and returns them.
+  template<typename Matches>
+  auto EndRuns(Matches aMatches) -> std::vector<BrokenAttempt>
+  {
+    std::set<RequestId> notBegun;
+    std::erase_if(firstEvents_, [&](const auto& aEntry) {
+      const bool isMatch = aMatches(aEntry.second);
+      if (isMatch) {
+        notBegun.insert(aEntry.second.request_);
+      }
+      return isMatch;
+    });
+    std::vector<BrokenAttempt> ended;
+    std::erase_if(ends_, [&](const auto& aEntry) {
+      const auto& run = aEntry.second;
+      const bool isMatch = aMatches(run);
+      if (isMatch) {
+        --running_[run.target_];
+        ended.push_back({ run, notBegun.contains(run.request_)
+                                 ? AttemptStage::kSent
+                                 : AttemptStage::kResponding });
+      }
+      return isMatch;
+    });
+    return ended;
+  }
+
+  auto IsDown(TargetId aTarget) -> bool
+  {
+    const auto down = down_.find(aTarget);
+    return down != down_.end() && now_ < down->second;
+  }
+
+  auto BeginAnswer(const EngineRun& aRun) -> void
+  {
+    auto& outcome = outcomes_[aRun.request_];
+    if (outcome.isDeadly_) {
+      // The run itself is not yet seen to begin.
+      firstEvents_.emplace(now_ + kRunTime, aRun);
+      CrashEngine(aRun.target_);
+      return;
+    }
+    outcome.beganAtFirstAttempt_ = outcome.sent_.size() == 1;
+    routers_[aRun.router_]->node_->OnResponseStarted(aRun.request_,
+                                                     aRun.attempt_, now_);
+    Apply(aRun.router_);
+  }
+
   template<typename Map, typename Action>
   auto TakeDue(Map* aMap, Action aAction) -> void
   {
@@ -187,10 +279,13 @@
         Apply(index);
       }
     });
-    TakeDue(&firstEvents_, [&](const EngineRun& aRun) {
-      routers_[aRun.router_]->node_->OnResponseStarted(aRun.request_,
-                                                       aRun.attempt_, now_);
-      Apply(aRun.router_);
+    TakeDue(&firstEvents_, [&](const EngineRun& aRun) { BeginAnswer(aRun); });
+    TakeDue(&broken_, [&](const BrokenAttempt& aBroken) {
+      const auto& run = aBroken.run_;
+      routers_[run.router_]->node_->OnAttemptFailed(
+        run.request_, run.attempt_, aBroken.stage_, "connection ended early",
+        now_);
+      Apply(run.router_);
     });
     TakeDue(&ends_, [&](const EngineRun& aRun) {
       --running_[aRun.target_];
@@ -238,8 +333,30 @@
     }
   }
 
+  /// Ends an engine and all its runs; it restarts after kEngineRestart.
+  auto CrashEngine(TargetId aTarget) -> void
+  {
+    crashes_.push_back(now_);
+    down_[aTarget] = now_ + kEngineRestart;
+    for (const auto& ended : EndRuns(
+           [&](const EngineRun& aRun) { return aRun.target_ == aTarget; })) {
+      broken_.emplace(now_ + kStep, ended);
+    }
+  }
+
+  /// Loses the answer of every run at the engine, which goes on.
+  auto ResetConnections(TargetId aTarget) -> void
+  {
+    for (const auto& ended : EndRuns(
+           [&](const EngineRun& aRun) { return aRun.target_ == aTarget; })) {
+      broken_.emplace(now_ + kStep, ended);
+    }
+  }
+
   /// Sends a request of account "a" to a router.
-  auto Arrive(std::size_t aRouter, int aPromptTokens = 500) -> void
+  auto Arrive(std::size_t aRouter,
+              int aPromptTokens = 500,
+              std::vector<PromptPart> aParts = {}) -> RequestId
   {
     IncomingRequest arrival;
     arrival.id_ = nextRequest_++;
@@ -251,8 +368,17 @@
     arrival.facts_.promptTokens_ = aPromptTokens;
     arrival.facts_.maxOutputTokens_ = 20;
     arrival.received_ = now_;
+    const auto id = arrival.id_;
+    auto& outcome = outcomes_[id];
+    outcome.arrived_ = now_;
+    outcome.isDeadly_ =
+      std::any_of(aParts.begin(), aParts.end(), [&](const PromptPart& aPart) {
+        return options_.deadlyParts_.contains(aPart.id_);
+      });
+    arrival.facts_.parts_ = std::move(aParts);
     routers_[aRouter]->node_->OnArrival(std::move(arrival), now_);
     Apply(aRouter);
+    return id;
   }
 
   auto Freeze(std::size_t aRouter, bool aFrozen) -> void
@@ -281,6 +407,15 @@
     return *routers_[aRouter]->node_;
   }
   [[nodiscard]] auto Now() const -> Instant { return now_; }
+  /// When engines crashed, in order.
+  [[nodiscard]] auto Crashes() const -> const std::vector<Instant>&
+  {
+    return crashes_;
+  }
+  [[nodiscard]] auto Outcomes() const -> const std::map<RequestId, Outcome>&
+  {
+    return outcomes_;
+  }
   [[nodiscard]] auto Starts() const -> int { return starts_; }
   [[nodiscard]] auto FailedRequests() const -> int { return failedRequests_; }
   [[nodiscard]] auto MaxRunning() const -> int { return maxRunning_; }
