--- a/src/connection/exchange.cpp
+++ b/src/connection/exchange.cpp
@@ -157,8 +157,8 @@
     connection_.reset();
   }
   mode_ = Mode::kNone;
-  port_->Node().OnAttemptFailed(id_, attempt_, AttemptStage::kSent, aCause,
-                                BootNow());
+  port_->Node().OnAttemptFailed(id_, attempt_, AttemptStage::kInvalidResponse,
+                                aCause, BootNow());
   port_->Settle();
 }
 
--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -202,7 +202,8 @@
 auto TargetConnection::Break(std::string_view aCause) -> void
 {
   const auto listener = listener_.lock();
-  const auto stage = !sent_       ? AttemptStage::kUnsent
+  const auto stage = isRefused_   ? AttemptStage::kConnectionRefused
+                     : !sent_     ? AttemptStage::kUnsent
                      : answering_ ? AttemptStage::kResponding
                                   : AttemptStage::kSent;
   const int attempt = attempt_;
@@ -243,6 +244,7 @@
         return;
       }
       if (aError) {
+        self->isRefused_ = aError == asio::error::connection_refused;
         self->Break("connect: " + aError.message());
         return;
       }
--- a/src/connection/target_connection.h
+++ b/src/connection/target_connection.h
@@ -76,6 +76,8 @@
   int attempt_ = 0;
   State state_ = State::kConnecting;
   bool sent_ = false;
+  /// Whether the target's VM refused the connection.
+  bool isRefused_ = false;
   bool writing_ = false;
   bool reading_ = false;
   bool answering_ = false;
--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -354,6 +354,14 @@
   add("attempts_lost_before_answer_total", counters.lostBeforeAnswer_);
   add("attempts_lost_in_answer_total", counters.lostInAnswer_);
   add("attempts_unsent_total", counters.unsentFailures_);
+  add("quarantined_requests_total", counters.quarantinedRequests_);
+  const auto& quarantine = node_.Quarantine();
+  add("quarantines", static_cast<std::int64_t>(quarantine.Count()));
+  add("quarantines_imposed_total", quarantine.Counters().imposed_);
+  add("quarantines_learned_total", quarantine.Counters().learned_);
+  add("quarantines_lifted_total", quarantine.Counters().lifted_);
+  add("quarantines_renewed_total", quarantine.Counters().renewed_);
+  add("quarantine_rows_skipped_total", quarantine.Counters().malformed_);
   add("stale_keys_total", counters.staleKeyChecks_);
   add("overload_refusals_total", counters.overloadRejections_);
   add("misplaced_total", counters.misplaced_);
--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -1,7 +1,5 @@
 #include "process/forwarding/dispatcher.h"
 
-#include "process/forwarding/part_ids.h"
-
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -370,6 +368,7 @@
   load.Remove({ 0, run.addedLoad_.prefillTokens_, 0 });
   LearnPrefillSpeed(run, aNow);
   load.OnSuccess();
+  begunParts_.insert(begunParts_.end(), run.parts_.begin(), run.parts_.end());
   for (const auto id : run.parts_) {
     if (policy_.IsEnabled(Mechanism::kCacheReports) &&
         load.OnPartCached(id, true, aNow) &&
@@ -505,6 +504,11 @@
   return std::exchange(decisions_, {});
 }
 
+auto Dispatcher::TakeBegunParts() -> PartIds
+{
+  return std::exchange(begunParts_, {});
+}
+
 auto Dispatcher::OnPeerReport(RouterId aPeer,
                               const wire::LoadReport& aReport,
                               Instant aNow) -> void
--- a/src/process/forwarding/dispatcher.h
+++ b/src/process/forwarding/dispatcher.h
@@ -2,6 +2,7 @@
 #define BURDOCKRING_PROCESS_FORWARDING_DISPATCHER_H
 
 #include "process/forwarding/account_shares.h"
+#include "process/forwarding/part_ids.h"
 #include "process/forwarding/report_delta.h"
 #include "process/forwarding/target_directory.h"
 #include "process/forwarding/target_load.h"
@@ -138,7 +139,7 @@
     AccountId account_;
     std::int64_t chargedTokens_ = 0;
     /// Shared parts of the prompt.
-    std::vector<std::uint64_t> parts_;
+    PartIds parts_;
     bool hasFirstEvent_ = false;
   };
 
@@ -164,6 +165,9 @@
   ReportDelta delta_;
   /// Prompt parts that targets have cached since the last report to the peers.
   std::vector<wire::PartRead> partReads_;
+  /// Prompt parts of the answers that have begun since the last
+  /// TakeBegunParts.
+  PartIds begunParts_;
   std::mt19937 random_;
   /// Until when accounts beyond their share get the pressure limits, because of
   /// rejections by this router and by its peers.
@@ -256,6 +260,8 @@
   /// Retries waiting requests and rejects those whose wait has expired.
   auto RetryWaiting(Instant aNow) -> void;
   auto TakeDecisions() -> std::vector<DispatchDecision>;
+  /// Shared prompt parts of the answers that have begun since the last call.
+  auto TakeBegunParts() -> PartIds;
 
   auto OnPeerReport(RouterId aPeer,
                     const wire::LoadReport& aReport,
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -19,6 +19,9 @@
 constexpr int kMaxUnsentFailures = 3;
 /// Placements of one request on unavailable targets before the request fails.
 constexpr int kMaxMisplacements = 3;
+/// Targets that may lose a request before its answer begins. A request that
+/// crashes targets must not go through all of them by retries.
+constexpr int kMaxLostBeforeAnswer = 2;
 /// Margin for differences in clock rate, taken off the maximum configuration
 /// age for key checks.
 constexpr Duration kConfigAgeMargin = 250ms;
@@ -51,6 +54,8 @@
   AdmissionRow{ AdmissionResult::kNoRoute, "no_route", kNotFound, 0us },
   AdmissionRow{ AdmissionResult::kUnknownKey, "unknown_key", kUnauthorized,
                 0us },
+  AdmissionRow{ AdmissionResult::kQuarantined, "quarantined", kUnavailable,
+                0us },
   AdmissionRow{ AdmissionResult::kOverloaded, "overloaded", kUnavailable,
                 kOtherRouterRetryAfter },
   AdmissionRow{ AdmissionResult::kStopping, "stopping", kUnavailable,
@@ -68,6 +73,12 @@
     .count();
 }
 
+auto IsUnsent(AttemptStage aStage) -> bool
+{
+  return aStage == AttemptStage::kUnsent ||
+         aStage == AttemptStage::kConnectionRefused;
+}
+
 } // namespace
 
 auto ForwardingNode::Find(RequestId aRequest) -> Request*
@@ -149,15 +160,25 @@
                                      Instant aNow) -> void
 {
   const auto& row = AdmissionRowOf(aDecision);
+  const auto parts = aDecision == AdmissionResult::kQuarantined
+                       ? PartIdsText(aRequest->sharedParts_)
+                       : std::string();
   log_->Write("refused",
               { { "request", aRequest->arrival_.facts_.attemptId_ },
                 { "reason", row.name_ },
                 { "status", std::int64_t{ row.status_ } },
                 { "version", aRequest->table_->Version() },
                 { "age_ms", ToMillis(aNow - config_.ConfirmedAt()) },
+                { "parts", parts },
                 { "open", static_cast<std::int64_t>(requests_.size() - 1) } });
   ++counters_.rejected_;
-  FailAndErase(aRequest, row.status_, row.retryAfter_, row.name_);
+  auto retryAfter = row.retryAfter_;
+  if (aDecision == AdmissionResult::kQuarantined) {
+    ++counters_.quarantinedRequests_;
+    retryAfter = std::max<Duration>(
+      quarantine_.Remaining(aRequest->sharedParts_, aNow), kDefaultRetryAfter);
+  }
+  FailAndErase(aRequest, row.status_, retryAfter, row.name_);
 }
 
 auto ForwardingNode::FillWorkItem(Request* aRequest) const -> void
@@ -254,6 +275,38 @@
   }
 }
 
+auto ForwardingNode::IsAdmittedByQuarantine(const Request& aRequest,
+                                            Instant aNow) -> bool
+{
+  return quarantine_.Admits(aRequest.arrival_.id_, aRequest.sharedParts_,
+                            peers_.TriesQuarantined(), aNow);
+}
+
+auto ForwardingNode::EndQuarantined(Request* aRequest, Instant aNow) -> void
+{
+  ++counters_.quarantinedRequests_;
+  const auto remaining = quarantine_.Remaining(aRequest->sharedParts_, aNow);
+  GiveUp(aRequest, std::max<Duration>(remaining, kDefaultRetryAfter),
+         "quarantined");
+}
+
+auto ForwardingNode::EnforceQuarantine(Instant aNow) -> void
+{
+  std::vector<RequestId> ended;
+  for (const auto& entry : requests_) {
+    const auto& request = *entry.second;
+    const bool isRunning = request.attemptActive_ && request.attemptBegan_;
+    if (!isRunning && !IsAdmittedByQuarantine(request, aNow)) {
+      ended.push_back(entry.first);
+    }
+  }
+  for (const auto id : ended) {
+    auto* request = Find(id);
+    CancelRun(request, aNow);
+    EndQuarantined(request, aNow);
+  }
+}
+
 auto ForwardingNode::Resubmit(Request* aRequest, Instant aNow) -> void
 {
   auto& item = aRequest->item_;
@@ -351,6 +404,11 @@
     placements_.OnRunEnd(aDecision.request_, RunOutcome::kCancelled, aNow);
     return;
   }
+  if (!IsAdmittedByQuarantine(*request, aNow)) {
+    placements_.OnRunEnd(aDecision.request_, RunOutcome::kCancelled, aNow);
+    EndQuarantined(request, aNow);
+    return;
+  }
   if (IsTargetUnavailable(aDecision.target_, aNow)) {
     RequestNewPlacement(request, aDecision.target_, aNow);
     return;
@@ -388,32 +446,61 @@
   effects_.emplace_back(std::move(send));
 }
 
-auto ForwardingNode::CountFailure(const Request& aRequest, AttemptStage aStage)
-  -> void
+auto ForwardingNode::RecordFailure(Request* aRequest,
+                                   AttemptStage aStage,
+                                   Instant aNow) -> void
 {
-  if (aStage == AttemptStage::kUnsent) {
+  if (IsUnsent(aStage)) {
     ++counters_.unsentFailures_;
-  } else if (aRequest.attemptBegan_) {
+    if (aStage == AttemptStage::kConnectionRefused) {
+      quarantine_.OnDown(aRequest->target_, aNow);
+    }
+    return;
+  }
+  if (aRequest->attemptBegan_) {
     ++counters_.lostInAnswer_;
-  } else {
-    ++counters_.lostBeforeAnswer_;
+    return;
+  }
+  ++counters_.lostBeforeAnswer_;
+  if (aStage != AttemptStage::kInvalidResponse) {
+    ++aRequest->lostBeforeAnswer_;
+    quarantine_.OnLost(aRequest->target_, aRequest->sharedParts_, aNow);
   }
 }
 
+auto ForwardingNode::MayRetry(Request* aRequest,
+                              AttemptStage aStage,
+                              Instant aNow) -> bool
+{
+  auto& request = *aRequest;
+  if (IsUnsent(aStage)) {
+    return ++request.unsentFailures_ < kMaxUnsentFailures;
+  }
+  const bool isAllowed =
+    request.route_->IsRetryable() &&
+    request.sentAttempts_ < request.route_->maxAttempts_ &&
+    (!request.responseStarted_ || request.route_->kind_ == RouteKind::kStream);
+  const bool mayCrashTargets =
+    request.lostBeforeAnswer_ > 0 &&
+    (request.lostBeforeAnswer_ >= kMaxLostBeforeAnswer ||
+     quarantine_.IsSuspicious(request.sharedParts_));
+  return isAllowed && !mayCrashTargets && TrySpendRetry(request, aNow);
+}
+
 auto ForwardingNode::LogAttemptFailed(const Request& aRequest,
                                       AttemptStage aStage,
                                       std::string_view aCause,
                                       bool aRetries) -> void
 {
   const auto* target = directory_.Find(aRequest.target_);
-  const auto parts = PartIdsText(SharedPartIds(aRequest.item_.parts_));
+  const auto parts = PartIdsText(aRequest.sharedParts_);
   log_->Write(
     aRetries ? "retried" : "attempt_failed",
     { { "request", aRequest.arrival_.facts_.attemptId_ },
       { "cause", aCause },
       { "target", target == nullptr ? std::string_view("unlisted")
                                     : std::string_view(target->instance_) },
-      { "sent", std::int64_t{ aStage == AttemptStage::kUnsent ? 0 : 1 } },
+      { "sent", std::int64_t{ IsUnsent(aStage) ? 0 : 1 } },
       { "began", std::int64_t{ aRequest.attemptBegan_ ? 1 : 0 } },
       { "attempt", std::int64_t{ aRequest.attempt_ } },
       { "last_event",
@@ -482,10 +569,12 @@
                 aSelf.zone_,
                 static_cast<std::uint32_t>(aIncarnation),
                 aOptions.policy_)
+  , quarantine_(aLog)
   , peers_(std::move(aSelf),
            aIncarnation,
            &config_,
            &dispatcher_,
+           &quarantine_,
            aLog,
            &effects_,
            aOptions.policy_)
@@ -516,6 +605,11 @@
   if (decision == AdmissionResult::kAdmitted) {
     decision = CheckKey(request);
   }
+  request->sharedParts_ = SharedPartIds(request->arrival_.facts_.parts_);
+  if (decision == AdmissionResult::kAdmitted &&
+      !IsAdmittedByQuarantine(*request, aNow)) {
+    decision = AdmissionResult::kQuarantined;
+  }
   if (decision != AdmissionResult::kAdmitted) {
     RejectOnArrival(request, decision, aNow);
     return;
@@ -572,6 +666,7 @@
   request->responseStarted_ = true;
   request->attemptBegan_ = true;
   placements_.OnFirstEvent(aRequest, aNow);
+  quarantine_.OnBegun(request->sharedParts_, aNow);
 }
 
 auto ForwardingNode::OnEventForwarded(RequestId aRequest, std::uint64_t aEvent)
@@ -662,19 +757,12 @@
   }
   placements_.OnRunEnd(aRequest, RunOutcome::kFailed, aNow);
   request->attemptActive_ = false;
-  const bool isUnsent = aStage == AttemptStage::kUnsent;
-  const bool canRetry =
-    isUnsent ? ++request->unsentFailures_ < kMaxUnsentFailures
-             : request->route_->IsRetryable() &&
-                 request->sentAttempts_ < request->route_->maxAttempts_ &&
-                 (!request->responseStarted_ ||
-                  request->route_->kind_ == RouteKind::kStream) &&
-                 TrySpendRetry(*request, aNow);
-  CountFailure(*request, aStage);
+  RecordFailure(request, aStage, aNow);
+  const bool canRetry = MayRetry(request, aStage, aNow);
   LogAttemptFailed(*request, aStage, aCause, canRetry);
   if (!canRetry) {
     GiveUp(request, kDefaultRetryAfter,
-           isUnsent ? "no_connection" : "target_lost");
+           IsUnsent(aStage) ? "no_connection" : "target_lost");
     return;
   }
   request->machine_.Process(AttemptInterrupted{});
@@ -807,6 +895,7 @@
     placementServer_.OnMessage(from, aEnvelope.incarnation, aEnvelope.placement,
                                aNow);
     placements_.OnMessage(from, aEnvelope.placement, aNow);
+    quarantine_.OnBegun(dispatcher_.TakeBegunParts(), aNow);
     TakeDecisions(aNow);
   }
 }
@@ -834,6 +923,10 @@
   placementServer_.Tick(aNow);
   dispatcher_.RetryWaiting(aNow);
   TakeDecisions(aNow);
+  quarantine_.Tick(peers_.Peers().IsLead(), aNow);
+  if (quarantine_.HasChanged()) {
+    EnforceQuarantine(aNow);
+  }
   peers_.Tick(aNow);
   placementStateLog_.Tick(aNow);
   LogTargetChanges();
@@ -931,6 +1024,11 @@
   return peers_.Peers();
 }
 
+auto ForwardingNode::Quarantine() const -> const PartQuarantine&
+{
+  return quarantine_;
+}
+
 auto ForwardingNode::AccountOf(RequestId aRequest) const -> std::string_view
 {
   const auto found = requests_.find(aRequest);
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -6,6 +6,7 @@
 #include "process/forwarding/event_log.h"
 #include "process/forwarding/forwarding_effects.h"
 #include "process/forwarding/overload_controller.h"
+#include "process/forwarding/part_quarantine.h"
 #include "process/forwarding/peer_exchange.h"
 #include "process/forwarding/placement_client.h"
 #include "process/forwarding/placement_server.h"
@@ -54,10 +55,14 @@
 {
   /// No byte was written.
   kUnsent,
+  /// Nothing listens on the target's port. No byte was written.
+  kConnectionRefused,
   /// The request may have reached the target.
   kSent,
   /// The target's response has started.
   kResponding,
+  /// The target's response can't be used; the router closed the connection.
+  kInvalidResponse,
 };
 
 /// Which requests a router accepts during shutdown. Requests that may not
@@ -78,6 +83,8 @@
   kStaleConfiguration,
   kNoRoute,
   kUnknownKey,
+  /// A part of the prompt crashes targets.
+  kQuarantined,
   /// This router's CPU is overloaded.
   kOverloaded,
   kStopping,
@@ -106,6 +113,8 @@
   std::int64_t overloadRejections_ = 0;
   /// Placements on a target that this router knows to be unavailable.
   std::int64_t misplaced_ = 0;
+  /// Requests ended because a part of their prompt crashes targets.
+  std::int64_t quarantinedRequests_ = 0;
 };
 
 /// Makes all decisions of a router that forwards requests: which route and
@@ -130,6 +139,10 @@
     bool attemptActive_ = false;
     /// Whether the answer of the last attempt has begun.
     bool attemptBegan_ = false;
+    /// Attempts that a target lost before their answer began.
+    int lostBeforeAnswer_ = 0;
+    /// Parts of the prompt that other requests may share.
+    PartIds sharedParts_;
     /// Attempts that may have reached a target.
     int sentAttempts_ = 0;
     int unsentFailures_ = 0;
@@ -148,6 +161,7 @@
   std::set<std::pair<Instant, RequestId>> deadlines_;
   std::map<ServiceId, RetryBudgetShare> retryBudgets_;
   ForwardingEffects effects_;
+  PartQuarantine quarantine_;
   PeerExchange peers_;
   PlacementClient placements_;
   PlacementServer placementServer_;
@@ -193,6 +207,19 @@
   auto GiveUp(Request* aRequest, Duration aRetryAfter, std::string_view aCode)
     -> void;
   auto CancelRun(Request* aRequest, Instant aNow) -> void;
+  /// Whether no part of the request's prompt is in quarantine.
+  auto IsAdmittedByQuarantine(const Request& aRequest, Instant aNow) -> bool;
+  /// Ends the request because a part of its prompt is in quarantine.
+  auto EndQuarantined(Request* aRequest, Instant aNow) -> void;
+  /// Ends queued requests, and those sent whose answer has not begun, with
+  /// parts that are in quarantine now.
+  auto EnforceQuarantine(Instant aNow) -> void;
+  /// Records what a failed attempt tells about the request and its target.
+  auto RecordFailure(Request* aRequest, AttemptStage aStage, Instant aNow)
+    -> void;
+  [[nodiscard]] auto MayRetry(Request* aRequest,
+                              AttemptStage aStage,
+                              Instant aNow) -> bool;
   auto Resubmit(Request* aRequest, Instant aNow) -> void;
   auto TakeDecisions(Instant aNow) -> void;
   auto Apply(const StartDecision& aDecision, Instant aNow) -> void;
@@ -213,7 +240,6 @@
                         AttemptStage aStage,
                         std::string_view aCause,
                         bool aRetries) -> void;
-  auto CountFailure(const Request& aRequest, AttemptStage aStage) -> void;
   auto Apply(const RejectDecision& aDecision, Instant aNow) -> void;
   auto ExpireRequests(Instant aNow) -> void;
   auto LogTargetChanges() -> void;
@@ -307,6 +333,7 @@
   [[nodiscard]] auto Placements() const -> const PlacementClient&;
   [[nodiscard]] auto PlacementsForOthers() const -> const PlacementServer&;
   [[nodiscard]] auto Peers() const -> const PeerTable&;
+  [[nodiscard]] auto Quarantine() const -> const PartQuarantine&;
   [[nodiscard]] auto AccountOf(RequestId aRequest) const -> std::string_view;
   [[nodiscard]] auto RouteOf(RequestId aRequest) const -> const RouteObject*;
 };
--- /dev/null
+++ b/src/process/forwarding/part_quarantine.h
@@ -0,0 +1,161 @@
+#ifndef BURDOCKRING_PROCESS_FORWARDING_PART_QUARANTINE_H
+#define BURDOCKRING_PROCESS_FORWARDING_PART_QUARANTINE_H
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "peer_types.h"
+#include "process/forwarding/crash_evidence.h"
+#include "process/forwarding/event_log.h"
+#include "process/forwarding/part_ids.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace burdockring {
+
+/// Counts since the process started.
+struct QuarantineCounters
+{
+  /// Quarantines that this router imposed, and those that it took over.
+  std::int64_t imposed_ = 0;
+  std::int64_t learned_ = 0;
+  std::int64_t lifted_ = 0;
+  std::int64_t renewed_ = 0;
+  /// Rows of peers that could not be decoded.
+  std::int64_t malformed_ = 0;
+};
+
+/// Keeps requests with a prompt part that crashes targets from reaching further
+/// ones, in the whole fleet.
+///
+/// Every router reports to the leads which requests targets lost before their
+/// answer began, and which targets refuse connections. Leads clear parts whose
+/// answers begin, and impose a quarantine on a part that is found to be the
+/// cause of crashes (CrashEvidence). Quarantines spread like the age of the
+/// configuration: each lead repeats all of them to the other leads and to its
+/// zone, so a lost message or a restarted router only delays them.
+///
+/// The quarantine ends when an answer with the part begins after all. After
+/// kDuration one request is tried, by one router; if its target loses it, the
+/// quarantine is renewed for twice as long, at the cost of one crash.
+///
+/// The state is lost only if all leads restart at the same time.
+class PartQuarantine
+{
+public:
+  static constexpr Duration kDuration = 10min;
+  static constexpr int kMaxDoublings = 5;
+  /// How long a request that is tried after the quarantine may take to begin
+  /// its answer before another one is tried.
+  static constexpr Duration kTrialTimeout = 30s;
+  /// How long peers are told of a quarantine that was lifted.
+  static constexpr Duration kLiftedLifetime = 30s;
+  /// Quarantines without a trial for this long are dropped.
+  static constexpr Duration kMaxIdle = 24h;
+  static constexpr std::size_t kMaxQuarantines = 64;
+
+private:
+  /// Reports in which each event is sent, as datagrams may be lost.
+  static constexpr int kReportCount = 3;
+  static constexpr std::size_t kMaxEvents = 64;
+  /// Parts of one request that are reported.
+  static constexpr std::size_t kMaxReportedParts = 32;
+
+  struct Quarantine
+  {
+    /// When it was imposed, renewed or lifted.
+    Instant changedAt_{};
+    Instant until_{};
+    int renewals_ = 0;
+    bool isLifted_ = false;
+    /// The request that is tried after until_, and since when.
+    std::optional<RequestId> trial_;
+    Instant trialSince_{};
+  };
+
+  /// Something to be reported to the leads.
+  struct Event
+  {
+    wire::CrashNews news_;
+    Instant at_{};
+    int reportsLeft_ = kReportCount;
+  };
+
+  EventLog* log_;
+  CrashEvidence evidence_;
+  /// By their parts, ascending.
+  std::map<PartIds, Quarantine> quarantines_;
+  std::deque<Event> events_;
+  QuarantineCounters counters_;
+  /// Until when evidence may have changed that has not been judged.
+  Instant judgeUntil_{};
+  bool hasUrgentNews_ = false;
+  bool hasChanged_ = false;
+
+  auto AddEvent(wire::CrashNews aNews, Instant aAt) -> void;
+  auto ReportBegun(std::uint64_t aPart, Instant aAt) -> void;
+  auto Impose(const CrashCause& aCause, Instant aNow) -> void;
+  /// Renews quarantines whose trial a target lost.
+  auto RenewAfterTrial(const PartIds& aParts, Instant aAt) -> void;
+  /// Removes the part from quarantines that it can't be the cause of.
+  auto Lift(std::uint64_t aPart, Instant aAt) -> void;
+  auto Clear(std::uint64_t aPart, Instant aAt) -> void;
+  auto AddLoss(TargetId aTarget, const PartIds& aParts, Instant aAt) -> void;
+  auto MergeRow(const wire::QuarantineRow& aRow, Instant aNow) -> void;
+  auto MakeRoom() -> void;
+  auto Log(std::string_view aEvent,
+           const PartIds& aParts,
+           const Quarantine& aQuarantine,
+           std::int64_t aCrashes) -> void;
+
+public:
+  explicit PartQuarantine(EventLog* aLog);
+
+  /// A target lost a request of this router before its answer began.
+  auto OnLost(TargetId aTarget, const PartIds& aParts, Instant aNow) -> void;
+  /// A target refused this router's connection.
+  auto OnDown(TargetId aTarget, Instant aNow) -> void;
+  /// Answers to requests with these parts began.
+  auto OnBegun(const PartIds& aParts, Instant aNow) -> void;
+  auto OnPeerNews(const wire::CrashNews& aNews, Instant aNow) -> void;
+
+  /// Whether a request with these parts may be sent to a target. aMayTry:
+  /// whether this router tries requests after the end of a quarantine.
+  auto Admits(RequestId aRequest,
+              const PartIds& aParts,
+              bool aMayTry,
+              Instant aNow) -> bool;
+  /// Time until a request with these parts may be tried again.
+  [[nodiscard]] auto Remaining(const PartIds& aParts, Instant aNow) const
+    -> Duration;
+  /// Whether a request that a target lost is likely to crash the next one.
+  [[nodiscard]] auto IsSuspicious(const PartIds& aParts) const -> bool;
+
+  /// Drops what has expired. aMayImpose: whether this router, as a lead, knows
+  /// enough to impose quarantines.
+  auto Tick(bool aMayImpose, Instant aNow) -> void;
+  /// Whether a quarantine was imposed or learned since the last call.
+  auto HasChanged() -> bool;
+  /// Whether events are to be reported to the leads.
+  [[nodiscard]] auto HasEvents() const -> bool;
+  /// Events for the next report to the leads.
+  auto TakeEvents(Instant aNow) -> wire::CrashNews;
+  [[nodiscard]] auto HasRows() const -> bool;
+  /// Rows for all quarantines.
+  [[nodiscard]] auto Rows(Instant aNow) const
+    -> std::vector<wire::QuarantineRow>;
+  /// Whether a quarantine has changed since the last call.
+  auto TakeUrgentNews() -> bool;
+
+  /// Quarantines in force.
+  [[nodiscard]] auto Count() const -> std::size_t;
+  [[nodiscard]] auto Counters() const -> const QuarantineCounters&;
+};
+
+} // namespace burdockring
+
+#endif
--- a/src/process/forwarding/peer_exchange.cpp
+++ b/src/process/forwarding/peer_exchange.cpp
@@ -93,7 +93,8 @@
 auto PeerExchange::HasLoad(const wire::LoadReport& aReport) const -> bool
 {
   return dispatcher_->RunningCount() > 0 || !aReport.targets.empty() ||
-         !aReport.accounts.empty() || !aReport.leaving.empty();
+         !aReport.accounts.empty() || !aReport.leaving.empty() ||
+         aReport.__isset.crashes;
 }
 
 auto PeerExchange::SendHeartbeats(Instant aNow) -> void
@@ -115,10 +116,11 @@
 auto PeerExchange::SendReports(Instant aNow) -> void
 {
   const bool isTimestamped =
-    announcementDue_ ||
+    announcementDue_ || quarantine_->TakeUrgentNews() ||
     aNow - lastTimestampedReport_ >= kTimestampedReportInterval;
-  const bool hasChanges =
-    dispatcher_->HasLoadChanged() || !leavingReportsLeft_.empty();
+  const bool hasChanges = dispatcher_->HasLoadChanged() ||
+                          !leavingReportsLeft_.empty() ||
+                          quarantine_->HasEvents();
   const bool isDue = hasChanges && aNow - lastReport_ >= ReportInterval();
   if (!isTimestamped && !isDue) {
     return;
@@ -128,6 +130,9 @@
   envelope.__isset.load = true;
   envelope.load = dispatcher_->MakeReport(announcementDue_, aNow);
   envelope.load.leaving = TakeLeaving();
+  if (quarantine_->HasEvents()) {
+    envelope.load.__set_crashes(quarantine_->TakeEvents(aNow));
+  }
   if (isTimestamped) {
     SendTimestampedReports(std::move(envelope), aNow);
     return;
@@ -150,7 +155,14 @@
   if (aNow < reportGoneUntil_) {
     aEnvelope.load.gone = goneTargets_;
   }
+  if (peers_.IsLead() && quarantine_->HasRows()) {
+    aEnvelope.load.__isset.crashes = true;
+    aEnvelope.load.crashes.quarantined = quarantine_->Rows(aNow);
+  }
   auto configOnly = aEnvelope;
+  configOnly.load.crashes.lost.clear();
+  configOnly.load.crashes.down.clear();
+  configOnly.load.crashes.begun.clear();
   configOnly.load.targets.clear();
   configOnly.load.accounts.clear();
   configOnly.load.reads.clear();
@@ -195,6 +207,9 @@
                                 Instant aNow) -> void
 {
   dispatcher_->OnPeerReport(aFrom, aReport, aNow);
+  if (aReport.__isset.crashes) {
+    quarantine_->OnPeerNews(aReport.crashes, aNow);
+  }
   if (aReport.stampMicros == 0) {
     return;
   }
@@ -380,12 +395,14 @@
                            std::int64_t aIncarnation,
                            ActiveConfig* aConfig,
                            Dispatcher* aDispatcher,
+                           PartQuarantine* aQuarantine,
                            EventLog* aLog,
                            ForwardingEffects* aEffects,
                            const ForwardingPolicy& aPolicy)
   : incarnation_(aIncarnation)
   , config_(aConfig)
   , dispatcher_(aDispatcher)
+  , quarantine_(aQuarantine)
   , log_(aLog)
   , effects_(aEffects)
   , policy_(aPolicy)
@@ -471,7 +488,8 @@
   if (announcementDue_) {
     return lastReport_;
   }
-  if (!dispatcher_->HasLoadChanged() && leavingReportsLeft_.empty()) {
+  if (!dispatcher_->HasLoadChanged() && leavingReportsLeft_.empty() &&
+      !quarantine_->HasEvents()) {
     return std::nullopt;
   }
   return lastReport_ + ReportInterval();
@@ -521,6 +539,19 @@
   return peers_;
 }
 
+auto PeerExchange::TriesQuarantined() const -> bool
+{
+  for (const auto zone : peers_.Zones()) {
+    const auto& leads = peers_.Leads(zone);
+    if (std::any_of(leads.begin(), leads.end(), [&](RouterId aLead) {
+          return aLead < peers_.Self().id_;
+        })) {
+      return false;
+    }
+  }
+  return peers_.IsLead();
+}
+
 auto PeerExchange::RouterCount() const -> int
 {
   return static_cast<int>(peers_.Peers().size()) + 1;
--- a/src/process/forwarding/peer_exchange.h
+++ b/src/process/forwarding/peer_exchange.h
@@ -5,6 +5,7 @@
 #include "process/forwarding/dispatcher.h"
 #include "process/forwarding/event_log.h"
 #include "process/forwarding/forwarding_effects.h"
+#include "process/forwarding/part_quarantine.h"
 #include "process/forwarding/placement_wire.h"
 #include "process/forwarding/read_scheduler.h"
 #include "process/membership/peer_table.h"
@@ -67,6 +68,7 @@
   std::int64_t incarnation_;
   ActiveConfig* config_;
   Dispatcher* dispatcher_;
+  PartQuarantine* quarantine_;
   EventLog* log_;
   ForwardingEffects* effects_;
   ForwardingPolicy policy_;
@@ -139,6 +141,7 @@
                std::int64_t aIncarnation,
                ActiveConfig* aConfig,
                Dispatcher* aDispatcher,
+               PartQuarantine* aQuarantine,
                EventLog* aLog,
                ForwardingEffects* aEffects,
                const ForwardingPolicy& aPolicy = {});
@@ -172,6 +175,9 @@
                   Instant aNow) -> void;
 
   [[nodiscard]] auto Peers() const -> const PeerTable&;
+  /// Whether this router is the one that tries requests after the end of a
+  /// quarantine: the first of the live leads of all zones.
+  [[nodiscard]] auto TriesQuarantined() const -> bool;
   /// Routers that are listed or heard from, including this one.
   [[nodiscard]] auto RouterCount() const -> int;
 };
--- a/src/wire/gen/peer_types.cpp
+++ b/src/wire/gen/peer_types.cpp
@@ -2750,6 +2750,766 @@
 }
 
 
+LostRequest::~LostRequest() noexcept {
+}
+
+
+void LostRequest::__set_target(const int32_t val) {
+  this->target = val;
+}
+
+void LostRequest::__set_parts(const std::string& val) {
+  this->parts = val;
+}
+
+void LostRequest::__set_ageMicros(const int64_t val) {
+  this->ageMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const LostRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LostRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->parts);
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMicros);
+          this->__isset.ageMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LostRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LostRequest");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->parts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->ageMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LostRequest &a, LostRequest &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.parts, b.parts);
+  swap(a.ageMicros, b.ageMicros);
+  swap(a.__isset, b.__isset);
+}
+
+LostRequest::LostRequest(const LostRequest& other80) {
+  target = other80.target;
+  parts = other80.parts;
+  ageMicros = other80.ageMicros;
+  __isset = other80.__isset;
+}
+LostRequest& LostRequest::operator=(const LostRequest& other81) {
+  target = other81.target;
+  parts = other81.parts;
+  ageMicros = other81.ageMicros;
+  __isset = other81.__isset;
+  return *this;
+}
+void LostRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LostRequest(";
+  out << "target=" << to_string(target);
+  out << ", " << "parts=" << to_string(parts);
+  out << ", " << "ageMicros=" << to_string(ageMicros);
+  out << ")";
+}
+
+
+TargetDown::~TargetDown() noexcept {
+}
+
+
+void TargetDown::__set_target(const int32_t val) {
+  this->target = val;
+}
+
+void TargetDown::__set_ageMicros(const int64_t val) {
+  this->ageMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const TargetDown& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetDown::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMicros);
+          this->__isset.ageMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetDown::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetDown");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMicros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->ageMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetDown &a, TargetDown &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.ageMicros, b.ageMicros);
+  swap(a.__isset, b.__isset);
+}
+
+TargetDown::TargetDown(const TargetDown& other82) noexcept {
+  target = other82.target;
+  ageMicros = other82.ageMicros;
+  __isset = other82.__isset;
+}
+TargetDown& TargetDown::operator=(const TargetDown& other83) noexcept {
+  target = other83.target;
+  ageMicros = other83.ageMicros;
+  __isset = other83.__isset;
+  return *this;
+}
+void TargetDown::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetDown(";
+  out << "target=" << to_string(target);
+  out << ", " << "ageMicros=" << to_string(ageMicros);
+  out << ")";
+}
+
+
+PartBegun::~PartBegun() noexcept {
+}
+
+
+void PartBegun::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void PartBegun::__set_ageMicros(const int64_t val) {
+  this->ageMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartBegun& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartBegun::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMicros);
+          this->__isset.ageMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartBegun::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartBegun");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMicros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->ageMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartBegun &a, PartBegun &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.ageMicros, b.ageMicros);
+  swap(a.__isset, b.__isset);
+}
+
+PartBegun::PartBegun(const PartBegun& other84) noexcept {
+  part = other84.part;
+  ageMicros = other84.ageMicros;
+  __isset = other84.__isset;
+}
+PartBegun& PartBegun::operator=(const PartBegun& other85) noexcept {
+  part = other85.part;
+  ageMicros = other85.ageMicros;
+  __isset = other85.__isset;
+  return *this;
+}
+void PartBegun::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartBegun(";
+  out << "part=" << to_string(part);
+  out << ", " << "ageMicros=" << to_string(ageMicros);
+  out << ")";
+}
+
+
+QuarantineRow::~QuarantineRow() noexcept {
+}
+
+
+void QuarantineRow::__set_parts(const std::string& val) {
+  this->parts = val;
+}
+
+void QuarantineRow::__set_lifted(const bool val) {
+  this->lifted = val;
+}
+
+void QuarantineRow::__set_ageMicros(const int64_t val) {
+  this->ageMicros = val;
+}
+
+void QuarantineRow::__set_remainingMicros(const int64_t val) {
+  this->remainingMicros = val;
+}
+
+void QuarantineRow::__set_renewals(const int32_t val) {
+  this->renewals = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuarantineRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuarantineRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->parts);
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->lifted);
+          this->__isset.lifted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMicros);
+          this->__isset.ageMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remainingMicros);
+          this->__isset.remainingMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->renewals);
+          this->__isset.renewals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuarantineRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuarantineRow");
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->parts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lifted", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->lifted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->ageMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remainingMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->remainingMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("renewals", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->renewals);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuarantineRow &a, QuarantineRow &b) {
+  using ::std::swap;
+  swap(a.parts, b.parts);
+  swap(a.lifted, b.lifted);
+  swap(a.ageMicros, b.ageMicros);
+  swap(a.remainingMicros, b.remainingMicros);
+  swap(a.renewals, b.renewals);
+  swap(a.__isset, b.__isset);
+}
+
+QuarantineRow::QuarantineRow(const QuarantineRow& other86) {
+  parts = other86.parts;
+  lifted = other86.lifted;
+  ageMicros = other86.ageMicros;
+  remainingMicros = other86.remainingMicros;
+  renewals = other86.renewals;
+  __isset = other86.__isset;
+}
+QuarantineRow& QuarantineRow::operator=(const QuarantineRow& other87) {
+  parts = other87.parts;
+  lifted = other87.lifted;
+  ageMicros = other87.ageMicros;
+  remainingMicros = other87.remainingMicros;
+  renewals = other87.renewals;
+  __isset = other87.__isset;
+  return *this;
+}
+void QuarantineRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuarantineRow(";
+  out << "parts=" << to_string(parts);
+  out << ", " << "lifted=" << to_string(lifted);
+  out << ", " << "ageMicros=" << to_string(ageMicros);
+  out << ", " << "remainingMicros=" << to_string(remainingMicros);
+  out << ", " << "renewals=" << to_string(renewals);
+  out << ")";
+}
+
+
+CrashNews::~CrashNews() noexcept {
+}
+
+
+void CrashNews::__set_lost(const std::vector<LostRequest> & val) {
+  this->lost = val;
+}
+
+void CrashNews::__set_down(const std::vector<TargetDown> & val) {
+  this->down = val;
+}
+
+void CrashNews::__set_begun(const std::vector<PartBegun> & val) {
+  this->begun = val;
+}
+
+void CrashNews::__set_quarantined(const std::vector<QuarantineRow> & val) {
+  this->quarantined = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->lost.clear();
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->lost.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
+            {
+              xfer += this->lost[_i92].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.lost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->down.clear();
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->down.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
+            {
+              xfer += this->down[_i97].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.down = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->begun.clear();
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->begun.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
+            {
+              xfer += this->begun[_i102].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.begun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantined.clear();
+            uint32_t _size103;
+            ::apache::thrift::protocol::TType _etype106;
+            xfer += iprot->readListBegin(_etype106, _size103);
+            this->quarantined.resize(_size103);
+            uint32_t _i107;
+            for (_i107 = 0; _i107 < _size103; ++_i107)
+            {
+              xfer += this->quarantined[_i107].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashNews");
+
+  xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lost.size()));
+    std::vector<LostRequest> ::const_iterator _iter108;
+    for (_iter108 = this->lost.begin(); _iter108 != this->lost.end(); ++_iter108)
+    {
+      xfer += (*_iter108).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("down", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->down.size()));
+    std::vector<TargetDown> ::const_iterator _iter109;
+    for (_iter109 = this->down.begin(); _iter109 != this->down.end(); ++_iter109)
+    {
+      xfer += (*_iter109).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("begun", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->begun.size()));
+    std::vector<PartBegun> ::const_iterator _iter110;
+    for (_iter110 = this->begun.begin(); _iter110 != this->begun.end(); ++_iter110)
+    {
+      xfer += (*_iter110).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantined.size()));
+    std::vector<QuarantineRow> ::const_iterator _iter111;
+    for (_iter111 = this->quarantined.begin(); _iter111 != this->quarantined.end(); ++_iter111)
+    {
+      xfer += (*_iter111).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashNews &a, CrashNews &b) {
+  using ::std::swap;
+  swap(a.lost, b.lost);
+  swap(a.down, b.down);
+  swap(a.begun, b.begun);
+  swap(a.quarantined, b.quarantined);
+  swap(a.__isset, b.__isset);
+}
+
+CrashNews::CrashNews(const CrashNews& other112) {
+  lost = other112.lost;
+  down = other112.down;
+  begun = other112.begun;
+  quarantined = other112.quarantined;
+  __isset = other112.__isset;
+}
+CrashNews& CrashNews::operator=(const CrashNews& other113) {
+  lost = other113.lost;
+  down = other113.down;
+  begun = other113.begun;
+  quarantined = other113.quarantined;
+  __isset = other113.__isset;
+  return *this;
+}
+void CrashNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashNews(";
+  out << "lost=" << to_string(lost);
+  out << ", " << "down=" << to_string(down);
+  out << ", " << "begun=" << to_string(begun);
+  out << ", " << "quarantined=" << to_string(quarantined);
+  out << ")";
+}
+
+
 LoadReport::~LoadReport() noexcept {
 }
 
@@ -2801,6 +3561,11 @@
 void LoadReport::__set_echoIncarnation(const int64_t val) {
   this->echoIncarnation = val;
 }
+
+void LoadReport::__set_crashes(const CrashNews& val) {
+  this->crashes = val;
+__isset.crashes = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
 {
   obj.printTo(out);
@@ -2833,14 +3598,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->targets.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->targets.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->targets[_i84].read(iprot);
+              xfer += this->targets[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2853,14 +3618,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accounts.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->accounts.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->accounts.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
             {
-              xfer += this->accounts[_i89].read(iprot);
+              xfer += this->accounts[_i123].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2913,14 +3678,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reads.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->reads.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->reads.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += this->reads[_i94].read(iprot);
+              xfer += this->reads[_i128].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2941,14 +3706,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size95;
-            ::apache::thrift::protocol::TType _etype98;
-            xfer += iprot->readListBegin(_etype98, _size95);
-            this->leaving.resize(_size95);
-            uint32_t _i99;
-            for (_i99 = 0; _i99 < _size95; ++_i99)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->leaving.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += iprot->readI32(this->leaving[_i99]);
+              xfer += iprot->readI32(this->leaving[_i133]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2961,14 +3726,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gone.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->gone.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->gone.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += iprot->readI32(this->gone[_i104]);
+              xfer += iprot->readI32(this->gone[_i138]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2985,6 +3750,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crashes.read(iprot);
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3005,10 +3778,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<TargetUse> ::const_iterator _iter105;
-    for (_iter105 = this->targets.begin(); _iter105 != this->targets.end(); ++_iter105)
+    std::vector<TargetUse> ::const_iterator _iter139;
+    for (_iter139 = this->targets.begin(); _iter139 != this->targets.end(); ++_iter139)
     {
-      xfer += (*_iter105).write(oprot);
+      xfer += (*_iter139).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3017,10 +3790,10 @@
   xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<AccountUse> ::const_iterator _iter106;
-    for (_iter106 = this->accounts.begin(); _iter106 != this->accounts.end(); ++_iter106)
+    std::vector<AccountUse> ::const_iterator _iter140;
+    for (_iter140 = this->accounts.begin(); _iter140 != this->accounts.end(); ++_iter140)
     {
-      xfer += (*_iter106).write(oprot);
+      xfer += (*_iter140).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3049,10 +3822,10 @@
   xfer += oprot->writeFieldBegin("reads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reads.size()));
-    std::vector<PartRead> ::const_iterator _iter107;
-    for (_iter107 = this->reads.begin(); _iter107 != this->reads.end(); ++_iter107)
+    std::vector<PartRead> ::const_iterator _iter141;
+    for (_iter141 = this->reads.begin(); _iter141 != this->reads.end(); ++_iter141)
     {
-      xfer += (*_iter107).write(oprot);
+      xfer += (*_iter141).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3065,10 +3838,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<int32_t> ::const_iterator _iter108;
-    for (_iter108 = this->leaving.begin(); _iter108 != this->leaving.end(); ++_iter108)
+    std::vector<int32_t> ::const_iterator _iter142;
+    for (_iter142 = this->leaving.begin(); _iter142 != this->leaving.end(); ++_iter142)
     {
-      xfer += oprot->writeI32((*_iter108));
+      xfer += oprot->writeI32((*_iter142));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3077,10 +3850,10 @@
   xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->gone.size()));
-    std::vector<int32_t> ::const_iterator _iter109;
-    for (_iter109 = this->gone.begin(); _iter109 != this->gone.end(); ++_iter109)
+    std::vector<int32_t> ::const_iterator _iter143;
+    for (_iter143 = this->gone.begin(); _iter143 != this->gone.end(); ++_iter143)
     {
-      xfer += oprot->writeI32((*_iter109));
+      xfer += oprot->writeI32((*_iter143));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3090,6 +3863,11 @@
   xfer += oprot->writeI64(this->echoIncarnation);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.crashes) {
+    xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->crashes.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3109,38 +3887,41 @@
   swap(a.leaving, b.leaving);
   swap(a.gone, b.gone);
   swap(a.echoIncarnation, b.echoIncarnation);
+  swap(a.crashes, b.crashes);
   swap(a.__isset, b.__isset);
 }
 
-LoadReport::LoadReport(const LoadReport& other110) {
-  targets = other110.targets;
-  accounts = other110.accounts;
-  configVersion = other110.configVersion;
-  configAgeMicros = other110.configAgeMicros;
-  stampMicros = other110.stampMicros;
-  echoMicros = other110.echoMicros;
-  pressed = other110.pressed;
-  reads = other110.reads;
-  partial = other110.partial;
-  leaving = other110.leaving;
-  gone = other110.gone;
-  echoIncarnation = other110.echoIncarnation;
-  __isset = other110.__isset;
-}
-LoadReport& LoadReport::operator=(const LoadReport& other111) {
-  targets = other111.targets;
-  accounts = other111.accounts;
-  configVersion = other111.configVersion;
-  configAgeMicros = other111.configAgeMicros;
-  stampMicros = other111.stampMicros;
-  echoMicros = other111.echoMicros;
-  pressed = other111.pressed;
-  reads = other111.reads;
-  partial = other111.partial;
-  leaving = other111.leaving;
-  gone = other111.gone;
-  echoIncarnation = other111.echoIncarnation;
-  __isset = other111.__isset;
+LoadReport::LoadReport(const LoadReport& other144) {
+  targets = other144.targets;
+  accounts = other144.accounts;
+  configVersion = other144.configVersion;
+  configAgeMicros = other144.configAgeMicros;
+  stampMicros = other144.stampMicros;
+  echoMicros = other144.echoMicros;
+  pressed = other144.pressed;
+  reads = other144.reads;
+  partial = other144.partial;
+  leaving = other144.leaving;
+  gone = other144.gone;
+  echoIncarnation = other144.echoIncarnation;
+  crashes = other144.crashes;
+  __isset = other144.__isset;
+}
+LoadReport& LoadReport::operator=(const LoadReport& other145) {
+  targets = other145.targets;
+  accounts = other145.accounts;
+  configVersion = other145.configVersion;
+  configAgeMicros = other145.configAgeMicros;
+  stampMicros = other145.stampMicros;
+  echoMicros = other145.echoMicros;
+  pressed = other145.pressed;
+  reads = other145.reads;
+  partial = other145.partial;
+  leaving = other145.leaving;
+  gone = other145.gone;
+  echoIncarnation = other145.echoIncarnation;
+  crashes = other145.crashes;
+  __isset = other145.__isset;
   return *this;
 }
 void LoadReport::printTo(std::ostream& out) const {
@@ -3158,6 +3939,7 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "gone=" << to_string(gone);
   out << ", " << "echoIncarnation=" << to_string(echoIncarnation);
+  out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3325,14 +4107,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->partTokens.clear();
-            uint32_t _size112;
-            ::apache::thrift::protocol::TType _etype115;
-            xfer += iprot->readListBegin(_etype115, _size112);
-            this->partTokens.resize(_size112);
-            uint32_t _i116;
-            for (_i116 = 0; _i116 < _size112; ++_i116)
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _etype149;
+            xfer += iprot->readListBegin(_etype149, _size146);
+            this->partTokens.resize(_size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
             {
-              xfer += iprot->readI32(this->partTokens[_i116]);
+              xfer += iprot->readI32(this->partTokens[_i150]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3345,14 +4127,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tried.clear();
-            uint32_t _size117;
-            ::apache::thrift::protocol::TType _etype120;
-            xfer += iprot->readListBegin(_etype120, _size117);
-            this->tried.resize(_size117);
-            uint32_t _i121;
-            for (_i121 = 0; _i121 < _size117; ++_i121)
+            uint32_t _size151;
+            ::apache::thrift::protocol::TType _etype154;
+            xfer += iprot->readListBegin(_etype154, _size151);
+            this->tried.resize(_size151);
+            uint32_t _i155;
+            for (_i155 = 0; _i155 < _size151; ++_i155)
             {
-              xfer += iprot->readI32(this->tried[_i121]);
+              xfer += iprot->readI32(this->tried[_i155]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3421,10 +4203,10 @@
   xfer += oprot->writeFieldBegin("partTokens", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->partTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter122;
-    for (_iter122 = this->partTokens.begin(); _iter122 != this->partTokens.end(); ++_iter122)
+    std::vector<int32_t> ::const_iterator _iter156;
+    for (_iter156 = this->partTokens.begin(); _iter156 != this->partTokens.end(); ++_iter156)
     {
-      xfer += oprot->writeI32((*_iter122));
+      xfer += oprot->writeI32((*_iter156));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3433,10 +4215,10 @@
   xfer += oprot->writeFieldBegin("tried", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->tried.size()));
-    std::vector<int32_t> ::const_iterator _iter123;
-    for (_iter123 = this->tried.begin(); _iter123 != this->tried.end(); ++_iter123)
+    std::vector<int32_t> ::const_iterator _iter157;
+    for (_iter157 = this->tried.begin(); _iter157 != this->tried.end(); ++_iter157)
     {
-      xfer += oprot->writeI32((*_iter123));
+      xfer += oprot->writeI32((*_iter157));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3464,35 +4246,35 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAsk::PlaceAsk(const PlaceAsk& other124) {
-  request = other124.request;
-  serviceId = other124.serviceId;
-  account = other124.account;
-  aimMicros = other124.aimMicros;
-  waitedMicros = other124.waitedMicros;
-  patienceMicros = other124.patienceMicros;
-  goesOn = other124.goesOn;
-  promptTokens = other124.promptTokens;
-  outputTokens = other124.outputTokens;
-  parts = other124.parts;
-  partTokens = other124.partTokens;
-  tried = other124.tried;
-  __isset = other124.__isset;
-}
-PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other125) {
-  request = other125.request;
-  serviceId = other125.serviceId;
-  account = other125.account;
-  aimMicros = other125.aimMicros;
-  waitedMicros = other125.waitedMicros;
-  patienceMicros = other125.patienceMicros;
-  goesOn = other125.goesOn;
-  promptTokens = other125.promptTokens;
-  outputTokens = other125.outputTokens;
-  parts = other125.parts;
-  partTokens = other125.partTokens;
-  tried = other125.tried;
-  __isset = other125.__isset;
+PlaceAsk::PlaceAsk(const PlaceAsk& other158) {
+  request = other158.request;
+  serviceId = other158.serviceId;
+  account = other158.account;
+  aimMicros = other158.aimMicros;
+  waitedMicros = other158.waitedMicros;
+  patienceMicros = other158.patienceMicros;
+  goesOn = other158.goesOn;
+  promptTokens = other158.promptTokens;
+  outputTokens = other158.outputTokens;
+  parts = other158.parts;
+  partTokens = other158.partTokens;
+  tried = other158.tried;
+  __isset = other158.__isset;
+}
+PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other159) {
+  request = other159.request;
+  serviceId = other159.serviceId;
+  account = other159.account;
+  aimMicros = other159.aimMicros;
+  waitedMicros = other159.waitedMicros;
+  patienceMicros = other159.patienceMicros;
+  goesOn = other159.goesOn;
+  promptTokens = other159.promptTokens;
+  outputTokens = other159.outputTokens;
+  parts = other159.parts;
+  partTokens = other159.partTokens;
+  tried = other159.tried;
+  __isset = other159.__isset;
   return *this;
 }
 void PlaceAsk::printTo(std::ostream& out) const {
@@ -3742,31 +4524,31 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAnswer::PlaceAnswer(const PlaceAnswer& other126) noexcept {
-  request = other126.request;
-  outcome = other126.outcome;
-  target = other126.target;
-  copyFrom = other126.copyFrom;
-  expectedWaitMicros = other126.expectedWaitMicros;
-  reason = other126.reason;
-  retryAfterMicros = other126.retryAfterMicros;
-  prefillTokens = other126.prefillTokens;
-  memoryTokens = other126.memoryTokens;
-  standing = other126.standing;
-  __isset = other126.__isset;
-}
-PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other127) noexcept {
-  request = other127.request;
-  outcome = other127.outcome;
-  target = other127.target;
-  copyFrom = other127.copyFrom;
-  expectedWaitMicros = other127.expectedWaitMicros;
-  reason = other127.reason;
-  retryAfterMicros = other127.retryAfterMicros;
-  prefillTokens = other127.prefillTokens;
-  memoryTokens = other127.memoryTokens;
-  standing = other127.standing;
-  __isset = other127.__isset;
+PlaceAnswer::PlaceAnswer(const PlaceAnswer& other160) noexcept {
+  request = other160.request;
+  outcome = other160.outcome;
+  target = other160.target;
+  copyFrom = other160.copyFrom;
+  expectedWaitMicros = other160.expectedWaitMicros;
+  reason = other160.reason;
+  retryAfterMicros = other160.retryAfterMicros;
+  prefillTokens = other160.prefillTokens;
+  memoryTokens = other160.memoryTokens;
+  standing = other160.standing;
+  __isset = other160.__isset;
+}
+PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other161) noexcept {
+  request = other161.request;
+  outcome = other161.outcome;
+  target = other161.target;
+  copyFrom = other161.copyFrom;
+  expectedWaitMicros = other161.expectedWaitMicros;
+  reason = other161.reason;
+  retryAfterMicros = other161.retryAfterMicros;
+  prefillTokens = other161.prefillTokens;
+  memoryTokens = other161.memoryTokens;
+  standing = other161.standing;
+  __isset = other161.__isset;
   return *this;
 }
 void PlaceAnswer::printTo(std::ostream& out) const {
@@ -3895,17 +4677,17 @@
   swap(a.__isset, b.__isset);
 }
 
-RunNote::RunNote(const RunNote& other128) noexcept {
-  request = other128.request;
-  event = other128.event;
-  restMicros = other128.restMicros;
-  __isset = other128.__isset;
+RunNote::RunNote(const RunNote& other162) noexcept {
+  request = other162.request;
+  event = other162.event;
+  restMicros = other162.restMicros;
+  __isset = other162.__isset;
 }
-RunNote& RunNote::operator=(const RunNote& other129) noexcept {
-  request = other129.request;
-  event = other129.event;
-  restMicros = other129.restMicros;
-  __isset = other129.__isset;
+RunNote& RunNote::operator=(const RunNote& other163) noexcept {
+  request = other163.request;
+  event = other163.event;
+  restMicros = other163.restMicros;
+  __isset = other163.__isset;
   return *this;
 }
 void RunNote::printTo(std::ostream& out) const {
@@ -4061,21 +4843,21 @@
   swap(a.__isset, b.__isset);
 }
 
-RunRow::RunRow(const RunRow& other130) noexcept {
-  request = other130.request;
-  target = other130.target;
-  prefillTokens = other130.prefillTokens;
-  memoryTokens = other130.memoryTokens;
-  begun = other130.begun;
-  __isset = other130.__isset;
-}
-RunRow& RunRow::operator=(const RunRow& other131) noexcept {
-  request = other131.request;
-  target = other131.target;
-  prefillTokens = other131.prefillTokens;
-  memoryTokens = other131.memoryTokens;
-  begun = other131.begun;
-  __isset = other131.__isset;
+RunRow::RunRow(const RunRow& other164) noexcept {
+  request = other164.request;
+  target = other164.target;
+  prefillTokens = other164.prefillTokens;
+  memoryTokens = other164.memoryTokens;
+  begun = other164.begun;
+  __isset = other164.__isset;
+}
+RunRow& RunRow::operator=(const RunRow& other165) noexcept {
+  request = other165.request;
+  target = other165.target;
+  prefillTokens = other165.prefillTokens;
+  memoryTokens = other165.memoryTokens;
+  begun = other165.begun;
+  __isset = other165.__isset;
   return *this;
 }
 void RunRow::printTo(std::ostream& out) const {
@@ -4145,14 +4927,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->asks.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->asks.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
             {
-              xfer += this->asks[_i136].read(iprot);
+              xfer += this->asks[_i170].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4165,14 +4947,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size137;
-            ::apache::thrift::protocol::TType _etype140;
-            xfer += iprot->readListBegin(_etype140, _size137);
-            this->answers.resize(_size137);
-            uint32_t _i141;
-            for (_i141 = 0; _i141 < _size137; ++_i141)
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _etype174;
+            xfer += iprot->readListBegin(_etype174, _size171);
+            this->answers.resize(_size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
             {
-              xfer += this->answers[_i141].read(iprot);
+              xfer += this->answers[_i175].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4185,14 +4967,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->notes.clear();
-            uint32_t _size142;
-            ::apache::thrift::protocol::TType _etype145;
-            xfer += iprot->readListBegin(_etype145, _size142);
-            this->notes.resize(_size142);
-            uint32_t _i146;
-            for (_i146 = 0; _i146 < _size142; ++_i146)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->notes.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += this->notes[_i146].read(iprot);
+              xfer += this->notes[_i180].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4213,14 +4995,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size147;
-            ::apache::thrift::protocol::TType _etype150;
-            xfer += iprot->readListBegin(_etype150, _size147);
-            this->runs.resize(_size147);
-            uint32_t _i151;
-            for (_i151 = 0; _i151 < _size147; ++_i151)
+            uint32_t _size181;
+            ::apache::thrift::protocol::TType _etype184;
+            xfer += iprot->readListBegin(_etype184, _size181);
+            this->runs.resize(_size181);
+            uint32_t _i185;
+            for (_i185 = 0; _i185 < _size181; ++_i185)
             {
-              xfer += this->runs[_i151].read(iprot);
+              xfer += this->runs[_i185].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4249,10 +5031,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<PlaceAsk> ::const_iterator _iter152;
-    for (_iter152 = this->asks.begin(); _iter152 != this->asks.end(); ++_iter152)
+    std::vector<PlaceAsk> ::const_iterator _iter186;
+    for (_iter186 = this->asks.begin(); _iter186 != this->asks.end(); ++_iter186)
     {
-      xfer += (*_iter152).write(oprot);
+      xfer += (*_iter186).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4261,10 +5043,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<PlaceAnswer> ::const_iterator _iter153;
-    for (_iter153 = this->answers.begin(); _iter153 != this->answers.end(); ++_iter153)
+    std::vector<PlaceAnswer> ::const_iterator _iter187;
+    for (_iter187 = this->answers.begin(); _iter187 != this->answers.end(); ++_iter187)
     {
-      xfer += (*_iter153).write(oprot);
+      xfer += (*_iter187).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4273,10 +5055,10 @@
   xfer += oprot->writeFieldBegin("notes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notes.size()));
-    std::vector<RunNote> ::const_iterator _iter154;
-    for (_iter154 = this->notes.begin(); _iter154 != this->notes.end(); ++_iter154)
+    std::vector<RunNote> ::const_iterator _iter188;
+    for (_iter188 = this->notes.begin(); _iter188 != this->notes.end(); ++_iter188)
     {
-      xfer += (*_iter154).write(oprot);
+      xfer += (*_iter188).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4289,10 +5071,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<RunRow> ::const_iterator _iter155;
-    for (_iter155 = this->runs.begin(); _iter155 != this->runs.end(); ++_iter155)
+    std::vector<RunRow> ::const_iterator _iter189;
+    for (_iter189 = this->runs.begin(); _iter189 != this->runs.end(); ++_iter189)
     {
-      xfer += (*_iter155).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4313,21 +5095,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Placement::Placement(const Placement& other156) {
-  asks = other156.asks;
-  answers = other156.answers;
-  notes = other156.notes;
-  whole = other156.whole;
-  runs = other156.runs;
-  __isset = other156.__isset;
-}
-Placement& Placement::operator=(const Placement& other157) {
-  asks = other157.asks;
-  answers = other157.answers;
-  notes = other157.notes;
-  whole = other157.whole;
-  runs = other157.runs;
-  __isset = other157.__isset;
+Placement::Placement(const Placement& other190) {
+  asks = other190.asks;
+  answers = other190.answers;
+  notes = other190.notes;
+  whole = other190.whole;
+  runs = other190.runs;
+  __isset = other190.__isset;
+}
+Placement& Placement::operator=(const Placement& other191) {
+  asks = other191.asks;
+  answers = other191.answers;
+  notes = other191.notes;
+  whole = other191.whole;
+  runs = other191.runs;
+  __isset = other191.__isset;
   return *this;
 }
 void Placement::printTo(std::ostream& out) const {
@@ -4504,23 +5286,23 @@
   swap(a.__isset, b.__isset);
 }
 
-ListNews::ListNews(const ListNews& other158) {
-  sharedList = other158.sharedList;
-  fromOffset = other158.fromOffset;
-  toOffset = other158.toOffset;
-  reachable = other158.reachable;
-  batch = other158.batch;
-  storeEpoch = other158.storeEpoch;
-  __isset = other158.__isset;
-}
-ListNews& ListNews::operator=(const ListNews& other159) {
-  sharedList = other159.sharedList;
-  fromOffset = other159.fromOffset;
-  toOffset = other159.toOffset;
-  reachable = other159.reachable;
-  batch = other159.batch;
-  storeEpoch = other159.storeEpoch;
-  __isset = other159.__isset;
+ListNews::ListNews(const ListNews& other192) {
+  sharedList = other192.sharedList;
+  fromOffset = other192.fromOffset;
+  toOffset = other192.toOffset;
+  reachable = other192.reachable;
+  batch = other192.batch;
+  storeEpoch = other192.storeEpoch;
+  __isset = other192.__isset;
+}
+ListNews& ListNews::operator=(const ListNews& other193) {
+  sharedList = other193.sharedList;
+  fromOffset = other193.fromOffset;
+  toOffset = other193.toOffset;
+  reachable = other193.reachable;
+  batch = other193.batch;
+  storeEpoch = other193.storeEpoch;
+  __isset = other193.__isset;
   return *this;
 }
 void ListNews::printTo(std::ostream& out) const {
@@ -4591,14 +5373,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size160;
-            ::apache::thrift::protocol::TType _etype163;
-            xfer += iprot->readListBegin(_etype163, _size160);
-            this->waiting.resize(_size160);
-            uint32_t _i164;
-            for (_i164 = 0; _i164 < _size160; ++_i164)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->waiting.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += iprot->readI32(this->waiting[_i164]);
+              xfer += iprot->readI32(this->waiting[_i198]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4611,14 +5393,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->charged.clear();
-            uint32_t _size165;
-            ::apache::thrift::protocol::TType _etype168;
-            xfer += iprot->readListBegin(_etype168, _size165);
-            this->charged.resize(_size165);
-            uint32_t _i169;
-            for (_i169 = 0; _i169 < _size165; ++_i169)
+            uint32_t _size199;
+            ::apache::thrift::protocol::TType _etype202;
+            xfer += iprot->readListBegin(_etype202, _size199);
+            this->charged.resize(_size199);
+            uint32_t _i203;
+            for (_i203 = 0; _i203 < _size199; ++_i203)
             {
-              xfer += iprot->readI64(this->charged[_i169]);
+              xfer += iprot->readI64(this->charged[_i203]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4651,10 +5433,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<int32_t> ::const_iterator _iter170;
-    for (_iter170 = this->waiting.begin(); _iter170 != this->waiting.end(); ++_iter170)
+    std::vector<int32_t> ::const_iterator _iter204;
+    for (_iter204 = this->waiting.begin(); _iter204 != this->waiting.end(); ++_iter204)
     {
-      xfer += oprot->writeI32((*_iter170));
+      xfer += oprot->writeI32((*_iter204));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4663,10 +5445,10 @@
   xfer += oprot->writeFieldBegin("charged", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->charged.size()));
-    std::vector<int64_t> ::const_iterator _iter171;
-    for (_iter171 = this->charged.begin(); _iter171 != this->charged.end(); ++_iter171)
+    std::vector<int64_t> ::const_iterator _iter205;
+    for (_iter205 = this->charged.begin(); _iter205 != this->charged.end(); ++_iter205)
     {
-      xfer += oprot->writeI64((*_iter171));
+      xfer += oprot->writeI64((*_iter205));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4685,17 +5467,17 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandColumns::DemandColumns(const DemandColumns& other172) {
-  accounts = other172.accounts;
-  waiting = other172.waiting;
-  charged = other172.charged;
-  __isset = other172.__isset;
+DemandColumns::DemandColumns(const DemandColumns& other206) {
+  accounts = other206.accounts;
+  waiting = other206.waiting;
+  charged = other206.charged;
+  __isset = other206.__isset;
 }
-DemandColumns& DemandColumns::operator=(const DemandColumns& other173) {
-  accounts = other173.accounts;
-  waiting = other173.waiting;
-  charged = other173.charged;
-  __isset = other173.__isset;
+DemandColumns& DemandColumns::operator=(const DemandColumns& other207) {
+  accounts = other207.accounts;
+  waiting = other207.waiting;
+  charged = other207.charged;
+  __isset = other207.__isset;
   return *this;
 }
 void DemandColumns::printTo(std::ostream& out) const {
@@ -4763,14 +5545,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size174;
-            ::apache::thrift::protocol::TType _etype177;
-            xfer += iprot->readListBegin(_etype177, _size174);
-            this->held.resize(_size174);
-            uint32_t _i178;
-            for (_i178 = 0; _i178 < _size174; ++_i178)
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->held.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
             {
-              xfer += iprot->readI32(this->held[_i178]);
+              xfer += iprot->readI32(this->held[_i212]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4783,14 +5565,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->idle.clear();
-            uint32_t _size179;
-            ::apache::thrift::protocol::TType _etype182;
-            xfer += iprot->readListBegin(_etype182, _size179);
-            this->idle.resize(_size179);
-            uint32_t _i183;
-            for (_i183 = 0; _i183 < _size179; ++_i183)
+            uint32_t _size213;
+            ::apache::thrift::protocol::TType _etype216;
+            xfer += iprot->readListBegin(_etype216, _size213);
+            this->idle.resize(_size213);
+            uint32_t _i217;
+            for (_i217 = 0; _i217 < _size213; ++_i217)
             {
-              xfer += iprot->readI32(this->idle[_i183]);
+              xfer += iprot->readI32(this->idle[_i217]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4823,10 +5605,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->held.size()));
-    std::vector<int32_t> ::const_iterator _iter184;
-    for (_iter184 = this->held.begin(); _iter184 != this->held.end(); ++_iter184)
+    std::vector<int32_t> ::const_iterator _iter218;
+    for (_iter218 = this->held.begin(); _iter218 != this->held.end(); ++_iter218)
     {
-      xfer += oprot->writeI32((*_iter184));
+      xfer += oprot->writeI32((*_iter218));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4835,10 +5617,10 @@
   xfer += oprot->writeFieldBegin("idle", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->idle.size()));
-    std::vector<int32_t> ::const_iterator _iter185;
-    for (_iter185 = this->idle.begin(); _iter185 != this->idle.end(); ++_iter185)
+    std::vector<int32_t> ::const_iterator _iter219;
+    for (_iter219 = this->idle.begin(); _iter219 != this->idle.end(); ++_iter219)
     {
-      xfer += oprot->writeI32((*_iter185));
+      xfer += oprot->writeI32((*_iter219));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4857,17 +5639,17 @@
   swap(a.__isset, b.__isset);
 }
 
-HeldColumns::HeldColumns(const HeldColumns& other186) {
-  targets = other186.targets;
-  held = other186.held;
-  idle = other186.idle;
-  __isset = other186.__isset;
+HeldColumns::HeldColumns(const HeldColumns& other220) {
+  targets = other220.targets;
+  held = other220.held;
+  idle = other220.idle;
+  __isset = other220.__isset;
 }
-HeldColumns& HeldColumns::operator=(const HeldColumns& other187) {
-  targets = other187.targets;
-  held = other187.held;
-  idle = other187.idle;
-  __isset = other187.__isset;
+HeldColumns& HeldColumns::operator=(const HeldColumns& other221) {
+  targets = other221.targets;
+  held = other221.held;
+  idle = other221.idle;
+  __isset = other221.__isset;
   return *this;
 }
 void HeldColumns::printTo(std::ostream& out) const {
@@ -4935,14 +5717,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->counts.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->counts.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
             {
-              xfer += iprot->readI32(this->counts[_i192]);
+              xfer += iprot->readI32(this->counts[_i226]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4983,10 +5765,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
-    std::vector<int32_t> ::const_iterator _iter193;
-    for (_iter193 = this->counts.begin(); _iter193 != this->counts.end(); ++_iter193)
+    std::vector<int32_t> ::const_iterator _iter227;
+    for (_iter227 = this->counts.begin(); _iter227 != this->counts.end(); ++_iter227)
     {
-      xfer += oprot->writeI32((*_iter193));
+      xfer += oprot->writeI32((*_iter227));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5009,17 +5791,17 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantColumns::GrantColumns(const GrantColumns& other194) {
-  targets = other194.targets;
-  counts = other194.counts;
-  accounts = other194.accounts;
-  __isset = other194.__isset;
+GrantColumns::GrantColumns(const GrantColumns& other228) {
+  targets = other228.targets;
+  counts = other228.counts;
+  accounts = other228.accounts;
+  __isset = other228.__isset;
 }
-GrantColumns& GrantColumns::operator=(const GrantColumns& other195) {
-  targets = other195.targets;
-  counts = other195.counts;
-  accounts = other195.accounts;
-  __isset = other195.__isset;
+GrantColumns& GrantColumns::operator=(const GrantColumns& other229) {
+  targets = other229.targets;
+  counts = other229.counts;
+  accounts = other229.accounts;
+  __isset = other229.__isset;
   return *this;
 }
 void GrantColumns::printTo(std::ostream& out) const {
@@ -5083,14 +5865,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tags.clear();
-            uint32_t _size196;
-            ::apache::thrift::protocol::TType _etype199;
-            xfer += iprot->readListBegin(_etype199, _size196);
-            this->tags.resize(_size196);
-            uint32_t _i200;
-            for (_i200 = 0; _i200 < _size196; ++_i200)
+            uint32_t _size230;
+            ::apache::thrift::protocol::TType _etype233;
+            xfer += iprot->readListBegin(_etype233, _size230);
+            this->tags.resize(_size230);
+            uint32_t _i234;
+            for (_i234 = 0; _i234 < _size230; ++_i234)
             {
-              xfer += iprot->readI64(this->tags[_i200]);
+              xfer += iprot->readI64(this->tags[_i234]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5123,10 +5905,10 @@
   xfer += oprot->writeFieldBegin("tags", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tags.size()));
-    std::vector<int64_t> ::const_iterator _iter201;
-    for (_iter201 = this->tags.begin(); _iter201 != this->tags.end(); ++_iter201)
+    std::vector<int64_t> ::const_iterator _iter235;
+    for (_iter235 = this->tags.begin(); _iter235 != this->tags.end(); ++_iter235)
     {
-      xfer += oprot->writeI64((*_iter201));
+      xfer += oprot->writeI64((*_iter235));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5144,15 +5926,15 @@
   swap(a.__isset, b.__isset);
 }
 
-TagColumns::TagColumns(const TagColumns& other202) {
-  accounts = other202.accounts;
-  tags = other202.tags;
-  __isset = other202.__isset;
+TagColumns::TagColumns(const TagColumns& other236) {
+  accounts = other236.accounts;
+  tags = other236.tags;
+  __isset = other236.__isset;
 }
-TagColumns& TagColumns::operator=(const TagColumns& other203) {
-  accounts = other203.accounts;
-  tags = other203.tags;
-  __isset = other203.__isset;
+TagColumns& TagColumns::operator=(const TagColumns& other237) {
+  accounts = other237.accounts;
+  tags = other237.tags;
+  __isset = other237.__isset;
   return *this;
 }
 void TagColumns::printTo(std::ostream& out) const {
@@ -5219,14 +6001,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->charged.clear();
-            uint32_t _size204;
-            ::apache::thrift::protocol::TType _etype207;
-            xfer += iprot->readListBegin(_etype207, _size204);
-            this->charged.resize(_size204);
-            uint32_t _i208;
-            for (_i208 = 0; _i208 < _size204; ++_i208)
+            uint32_t _size238;
+            ::apache::thrift::protocol::TType _etype241;
+            xfer += iprot->readListBegin(_etype241, _size238);
+            this->charged.resize(_size238);
+            uint32_t _i242;
+            for (_i242 = 0; _i242 < _size238; ++_i242)
             {
-              xfer += iprot->readI64(this->charged[_i208]);
+              xfer += iprot->readI64(this->charged[_i242]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5239,14 +6021,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tags.clear();
-            uint32_t _size209;
-            ::apache::thrift::protocol::TType _etype212;
-            xfer += iprot->readListBegin(_etype212, _size209);
-            this->tags.resize(_size209);
-            uint32_t _i213;
-            for (_i213 = 0; _i213 < _size209; ++_i213)
+            uint32_t _size243;
+            ::apache::thrift::protocol::TType _etype246;
+            xfer += iprot->readListBegin(_etype246, _size243);
+            this->tags.resize(_size243);
+            uint32_t _i247;
+            for (_i247 = 0; _i247 < _size243; ++_i247)
             {
-              xfer += iprot->readI64(this->tags[_i213]);
+              xfer += iprot->readI64(this->tags[_i247]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5279,10 +6061,10 @@
   xfer += oprot->writeFieldBegin("charged", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->charged.size()));
-    std::vector<int64_t> ::const_iterator _iter214;
-    for (_iter214 = this->charged.begin(); _iter214 != this->charged.end(); ++_iter214)
+    std::vector<int64_t> ::const_iterator _iter248;
+    for (_iter248 = this->charged.begin(); _iter248 != this->charged.end(); ++_iter248)
     {
-      xfer += oprot->writeI64((*_iter214));
+      xfer += oprot->writeI64((*_iter248));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5291,10 +6073,10 @@
   xfer += oprot->writeFieldBegin("tags", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tags.size()));
-    std::vector<int64_t> ::const_iterator _iter215;
-    for (_iter215 = this->tags.begin(); _iter215 != this->tags.end(); ++_iter215)
+    std::vector<int64_t> ::const_iterator _iter249;
+    for (_iter249 = this->tags.begin(); _iter249 != this->tags.end(); ++_iter249)
     {
-      xfer += oprot->writeI64((*_iter215));
+      xfer += oprot->writeI64((*_iter249));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5313,17 +6095,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ExchangeColumns::ExchangeColumns(const ExchangeColumns& other216) {
-  accounts = other216.accounts;
-  charged = other216.charged;
-  tags = other216.tags;
-  __isset = other216.__isset;
+ExchangeColumns::ExchangeColumns(const ExchangeColumns& other250) {
+  accounts = other250.accounts;
+  charged = other250.charged;
+  tags = other250.tags;
+  __isset = other250.__isset;
 }
-ExchangeColumns& ExchangeColumns::operator=(const ExchangeColumns& other217) {
-  accounts = other217.accounts;
-  charged = other217.charged;
-  tags = other217.tags;
-  __isset = other217.__isset;
+ExchangeColumns& ExchangeColumns::operator=(const ExchangeColumns& other251) {
+  accounts = other251.accounts;
+  charged = other251.charged;
+  tags = other251.tags;
+  __isset = other251.__isset;
   return *this;
 }
 void ExchangeColumns::printTo(std::ostream& out) const {
@@ -5395,14 +6177,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefillTokens.clear();
-            uint32_t _size218;
-            ::apache::thrift::protocol::TType _etype221;
-            xfer += iprot->readListBegin(_etype221, _size218);
-            this->prefillTokens.resize(_size218);
-            uint32_t _i222;
-            for (_i222 = 0; _i222 < _size218; ++_i222)
+            uint32_t _size252;
+            ::apache::thrift::protocol::TType _etype255;
+            xfer += iprot->readListBegin(_etype255, _size252);
+            this->prefillTokens.resize(_size252);
+            uint32_t _i256;
+            for (_i256 = 0; _i256 < _size252; ++_i256)
             {
-              xfer += iprot->readI32(this->prefillTokens[_i222]);
+              xfer += iprot->readI32(this->prefillTokens[_i256]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5415,14 +6197,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size223;
-            ::apache::thrift::protocol::TType _etype226;
-            xfer += iprot->readListBegin(_etype226, _size223);
-            this->running.resize(_size223);
-            uint32_t _i227;
-            for (_i227 = 0; _i227 < _size223; ++_i227)
+            uint32_t _size257;
+            ::apache::thrift::protocol::TType _etype260;
+            xfer += iprot->readListBegin(_etype260, _size257);
+            this->running.resize(_size257);
+            uint32_t _i261;
+            for (_i261 = 0; _i261 < _size257; ++_i261)
             {
-              xfer += iprot->readI32(this->running[_i227]);
+              xfer += iprot->readI32(this->running[_i261]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5435,14 +6217,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memoryTokens.clear();
-            uint32_t _size228;
-            ::apache::thrift::protocol::TType _etype231;
-            xfer += iprot->readListBegin(_etype231, _size228);
-            this->memoryTokens.resize(_size228);
-            uint32_t _i232;
-            for (_i232 = 0; _i232 < _size228; ++_i232)
+            uint32_t _size262;
+            ::apache::thrift::protocol::TType _etype265;
+            xfer += iprot->readListBegin(_etype265, _size262);
+            this->memoryTokens.resize(_size262);
+            uint32_t _i266;
+            for (_i266 = 0; _i266 < _size262; ++_i266)
             {
-              xfer += iprot->readI32(this->memoryTokens[_i232]);
+              xfer += iprot->readI32(this->memoryTokens[_i266]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5475,10 +6257,10 @@
   xfer += oprot->writeFieldBegin("prefillTokens", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->prefillTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter233;
-    for (_iter233 = this->prefillTokens.begin(); _iter233 != this->prefillTokens.end(); ++_iter233)
+    std::vector<int32_t> ::const_iterator _iter267;
+    for (_iter267 = this->prefillTokens.begin(); _iter267 != this->prefillTokens.end(); ++_iter267)
     {
-      xfer += oprot->writeI32((*_iter233));
+      xfer += oprot->writeI32((*_iter267));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5487,10 +6269,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
-    std::vector<int32_t> ::const_iterator _iter234;
-    for (_iter234 = this->running.begin(); _iter234 != this->running.end(); ++_iter234)
+    std::vector<int32_t> ::const_iterator _iter268;
+    for (_iter268 = this->running.begin(); _iter268 != this->running.end(); ++_iter268)
     {
-      xfer += oprot->writeI32((*_iter234));
+      xfer += oprot->writeI32((*_iter268));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5499,10 +6281,10 @@
   xfer += oprot->writeFieldBegin("memoryTokens", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->memoryTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter235;
-    for (_iter235 = this->memoryTokens.begin(); _iter235 != this->memoryTokens.end(); ++_iter235)
+    std::vector<int32_t> ::const_iterator _iter269;
+    for (_iter269 = this->memoryTokens.begin(); _iter269 != this->memoryTokens.end(); ++_iter269)
     {
-      xfer += oprot->writeI32((*_iter235));
+      xfer += oprot->writeI32((*_iter269));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5522,19 +6304,19 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetUseColumns::TargetUseColumns(const TargetUseColumns& other236) {
-  targets = other236.targets;
-  prefillTokens = other236.prefillTokens;
-  running = other236.running;
-  memoryTokens = other236.memoryTokens;
-  __isset = other236.__isset;
+TargetUseColumns::TargetUseColumns(const TargetUseColumns& other270) {
+  targets = other270.targets;
+  prefillTokens = other270.prefillTokens;
+  running = other270.running;
+  memoryTokens = other270.memoryTokens;
+  __isset = other270.__isset;
 }
-TargetUseColumns& TargetUseColumns::operator=(const TargetUseColumns& other237) {
-  targets = other237.targets;
-  prefillTokens = other237.prefillTokens;
-  running = other237.running;
-  memoryTokens = other237.memoryTokens;
-  __isset = other237.__isset;
+TargetUseColumns& TargetUseColumns::operator=(const TargetUseColumns& other271) {
+  targets = other271.targets;
+  prefillTokens = other271.prefillTokens;
+  running = other271.running;
+  memoryTokens = other271.memoryTokens;
+  __isset = other271.__isset;
   return *this;
 }
 void TargetUseColumns::printTo(std::ostream& out) const {
@@ -5603,14 +6385,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->askedTokens.clear();
-            uint32_t _size238;
-            ::apache::thrift::protocol::TType _etype241;
-            xfer += iprot->readListBegin(_etype241, _size238);
-            this->askedTokens.resize(_size238);
-            uint32_t _i242;
-            for (_i242 = 0; _i242 < _size238; ++_i242)
+            uint32_t _size272;
+            ::apache::thrift::protocol::TType _etype275;
+            xfer += iprot->readListBegin(_etype275, _size272);
+            this->askedTokens.resize(_size272);
+            uint32_t _i276;
+            for (_i276 = 0; _i276 < _size272; ++_i276)
             {
-              xfer += iprot->readI64(this->askedTokens[_i242]);
+              xfer += iprot->readI64(this->askedTokens[_i276]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5623,14 +6405,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->givenTokens.clear();
-            uint32_t _size243;
-            ::apache::thrift::protocol::TType _etype246;
-            xfer += iprot->readListBegin(_etype246, _size243);
-            this->givenTokens.resize(_size243);
-            uint32_t _i247;
-            for (_i247 = 0; _i247 < _size243; ++_i247)
+            uint32_t _size277;
+            ::apache::thrift::protocol::TType _etype280;
+            xfer += iprot->readListBegin(_etype280, _size277);
+            this->givenTokens.resize(_size277);
+            uint32_t _i281;
+            for (_i281 = 0; _i281 < _size277; ++_i281)
             {
-              xfer += iprot->readI64(this->givenTokens[_i247]);
+              xfer += iprot->readI64(this->givenTokens[_i281]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5663,10 +6445,10 @@
   xfer += oprot->writeFieldBegin("askedTokens", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->askedTokens.size()));
-    std::vector<int64_t> ::const_iterator _iter248;
-    for (_iter248 = this->askedTokens.begin(); _iter248 != this->askedTokens.end(); ++_iter248)
+    std::vector<int64_t> ::const_iterator _iter282;
+    for (_iter282 = this->askedTokens.begin(); _iter282 != this->askedTokens.end(); ++_iter282)
     {
-      xfer += oprot->writeI64((*_iter248));
+      xfer += oprot->writeI64((*_iter282));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5675,10 +6457,10 @@
   xfer += oprot->writeFieldBegin("givenTokens", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->givenTokens.size()));
-    std::vector<int64_t> ::const_iterator _iter249;
-    for (_iter249 = this->givenTokens.begin(); _iter249 != this->givenTokens.end(); ++_iter249)
+    std::vector<int64_t> ::const_iterator _iter283;
+    for (_iter283 = this->givenTokens.begin(); _iter283 != this->givenTokens.end(); ++_iter283)
     {
-      xfer += oprot->writeI64((*_iter249));
+      xfer += oprot->writeI64((*_iter283));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5697,17 +6479,17 @@
   swap(a.__isset, b.__isset);
 }
 
-AccountUseColumns::AccountUseColumns(const AccountUseColumns& other250) {
-  accounts = other250.accounts;
-  askedTokens = other250.askedTokens;
-  givenTokens = other250.givenTokens;
-  __isset = other250.__isset;
+AccountUseColumns::AccountUseColumns(const AccountUseColumns& other284) {
+  accounts = other284.accounts;
+  askedTokens = other284.askedTokens;
+  givenTokens = other284.givenTokens;
+  __isset = other284.__isset;
 }
-AccountUseColumns& AccountUseColumns::operator=(const AccountUseColumns& other251) {
-  accounts = other251.accounts;
-  askedTokens = other251.askedTokens;
-  givenTokens = other251.givenTokens;
-  __isset = other251.__isset;
+AccountUseColumns& AccountUseColumns::operator=(const AccountUseColumns& other285) {
+  accounts = other285.accounts;
+  askedTokens = other285.askedTokens;
+  givenTokens = other285.givenTokens;
+  __isset = other285.__isset;
   return *this;
 }
 void AccountUseColumns::printTo(std::ostream& out) const {
@@ -5812,15 +6594,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PartReadColumns::PartReadColumns(const PartReadColumns& other252) {
-  targets = other252.targets;
-  parts = other252.parts;
-  __isset = other252.__isset;
+PartReadColumns::PartReadColumns(const PartReadColumns& other286) {
+  targets = other286.targets;
+  parts = other286.parts;
+  __isset = other286.__isset;
 }
-PartReadColumns& PartReadColumns::operator=(const PartReadColumns& other253) {
-  targets = other253.targets;
-  parts = other253.parts;
-  __isset = other253.__isset;
+PartReadColumns& PartReadColumns::operator=(const PartReadColumns& other287) {
+  targets = other287.targets;
+  parts = other287.parts;
+  __isset = other287.__isset;
   return *this;
 }
 void PartReadColumns::printTo(std::ostream& out) const {
@@ -6042,27 +6824,27 @@
   swap(a.__isset, b.__isset);
 }
 
-RowColumns::RowColumns(const RowColumns& other254) {
-  demand = other254.demand;
-  held = other254.held;
-  grants = other254.grants;
-  tags = other254.tags;
-  exchange = other254.exchange;
-  targets = other254.targets;
-  accounts = other254.accounts;
-  reads = other254.reads;
-  __isset = other254.__isset;
-}
-RowColumns& RowColumns::operator=(const RowColumns& other255) {
-  demand = other255.demand;
-  held = other255.held;
-  grants = other255.grants;
-  tags = other255.tags;
-  exchange = other255.exchange;
-  targets = other255.targets;
-  accounts = other255.accounts;
-  reads = other255.reads;
-  __isset = other255.__isset;
+RowColumns::RowColumns(const RowColumns& other288) {
+  demand = other288.demand;
+  held = other288.held;
+  grants = other288.grants;
+  tags = other288.tags;
+  exchange = other288.exchange;
+  targets = other288.targets;
+  accounts = other288.accounts;
+  reads = other288.reads;
+  __isset = other288.__isset;
+}
+RowColumns& RowColumns::operator=(const RowColumns& other289) {
+  demand = other289.demand;
+  held = other289.held;
+  grants = other289.grants;
+  tags = other289.tags;
+  exchange = other289.exchange;
+  targets = other289.targets;
+  accounts = other289.accounts;
+  reads = other289.reads;
+  __isset = other289.__isset;
   return *this;
 }
 void RowColumns::printTo(std::ostream& out) const {
@@ -6362,35 +7144,35 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other256) {
-  sender = other256.sender;
-  incarnation = other256.incarnation;
-  heartbeat = other256.heartbeat;
-  demand = other256.demand;
-  grants = other256.grants;
-  exchange = other256.exchange;
-  configOffer = other256.configOffer;
-  configRequest = other256.configRequest;
-  load = other256.load;
-  listNews = other256.listNews;
-  columns = other256.columns;
-  placement = other256.placement;
-  __isset = other256.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other257) {
-  sender = other257.sender;
-  incarnation = other257.incarnation;
-  heartbeat = other257.heartbeat;
-  demand = other257.demand;
-  grants = other257.grants;
-  exchange = other257.exchange;
-  configOffer = other257.configOffer;
-  configRequest = other257.configRequest;
-  load = other257.load;
-  listNews = other257.listNews;
-  columns = other257.columns;
-  placement = other257.placement;
-  __isset = other257.__isset;
+Envelope::Envelope(const Envelope& other290) {
+  sender = other290.sender;
+  incarnation = other290.incarnation;
+  heartbeat = other290.heartbeat;
+  demand = other290.demand;
+  grants = other290.grants;
+  exchange = other290.exchange;
+  configOffer = other290.configOffer;
+  configRequest = other290.configRequest;
+  load = other290.load;
+  listNews = other290.listNews;
+  columns = other290.columns;
+  placement = other290.placement;
+  __isset = other290.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other291) {
+  sender = other291.sender;
+  incarnation = other291.incarnation;
+  heartbeat = other291.heartbeat;
+  demand = other291.demand;
+  grants = other291.grants;
+  exchange = other291.exchange;
+  configOffer = other291.configOffer;
+  configRequest = other291.configRequest;
+  load = other291.load;
+  listNews = other291.listNews;
+  columns = other291.columns;
+  placement = other291.placement;
+  __isset = other291.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen/peer_types.h
+++ b/src/wire/gen/peer_types.h
@@ -53,6 +53,16 @@
 
 class PartRead;
 
+class LostRequest;
+
+class TargetDown;
+
+class PartBegun;
+
+class QuarantineRow;
+
+class CrashNews;
+
 class LoadReport;
 
 class PlaceAsk;
@@ -1156,8 +1166,296 @@
 
 std::ostream& operator<<(std::ostream& out, const PartRead& obj);
 
+typedef struct _LostRequest__isset {
+  _LostRequest__isset() : target(false), parts(false), ageMicros(false) {}
+  bool target :1;
+  bool parts :1;
+  bool ageMicros :1;
+} _LostRequest__isset;
+
+class LostRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  LostRequest(const LostRequest&);
+  LostRequest& operator=(const LostRequest&);
+  LostRequest() noexcept
+              : target(0),
+                parts(),
+                ageMicros(0) {
+  }
+
+  virtual ~LostRequest() noexcept;
+  int32_t target;
+  std::string parts;
+  int64_t ageMicros;
+
+  _LostRequest__isset __isset;
+
+  void __set_target(const int32_t val);
+
+  void __set_parts(const std::string& val);
+
+  void __set_ageMicros(const int64_t val);
+
+  bool operator == (const LostRequest & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    if (!(ageMicros == rhs.ageMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const LostRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LostRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LostRequest &a, LostRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const LostRequest& obj);
+
+typedef struct _TargetDown__isset {
+  _TargetDown__isset() : target(false), ageMicros(false) {}
+  bool target :1;
+  bool ageMicros :1;
+} _TargetDown__isset;
+
+class TargetDown : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetDown(const TargetDown&) noexcept;
+  TargetDown& operator=(const TargetDown&) noexcept;
+  TargetDown() noexcept
+             : target(0),
+               ageMicros(0) {
+  }
+
+  virtual ~TargetDown() noexcept;
+  int32_t target;
+  int64_t ageMicros;
+
+  _TargetDown__isset __isset;
+
+  void __set_target(const int32_t val);
+
+  void __set_ageMicros(const int64_t val);
+
+  bool operator == (const TargetDown & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(ageMicros == rhs.ageMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetDown &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetDown & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetDown &a, TargetDown &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetDown& obj);
+
+typedef struct _PartBegun__isset {
+  _PartBegun__isset() : part(false), ageMicros(false) {}
+  bool part :1;
+  bool ageMicros :1;
+} _PartBegun__isset;
+
+class PartBegun : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartBegun(const PartBegun&) noexcept;
+  PartBegun& operator=(const PartBegun&) noexcept;
+  PartBegun() noexcept
+            : part(0),
+              ageMicros(0) {
+  }
+
+  virtual ~PartBegun() noexcept;
+  int64_t part;
+  int64_t ageMicros;
+
+  _PartBegun__isset __isset;
+
+  void __set_part(const int64_t val);
+
+  void __set_ageMicros(const int64_t val);
+
+  bool operator == (const PartBegun & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(ageMicros == rhs.ageMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const PartBegun &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartBegun & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartBegun &a, PartBegun &b);
+
+std::ostream& operator<<(std::ostream& out, const PartBegun& obj);
+
+typedef struct _QuarantineRow__isset {
+  _QuarantineRow__isset() : parts(false), lifted(false), ageMicros(false), remainingMicros(false), renewals(false) {}
+  bool parts :1;
+  bool lifted :1;
+  bool ageMicros :1;
+  bool remainingMicros :1;
+  bool renewals :1;
+} _QuarantineRow__isset;
+
+class QuarantineRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuarantineRow(const QuarantineRow&);
+  QuarantineRow& operator=(const QuarantineRow&);
+  QuarantineRow() noexcept
+                : parts(),
+                  lifted(0),
+                  ageMicros(0),
+                  remainingMicros(0),
+                  renewals(0) {
+  }
+
+  virtual ~QuarantineRow() noexcept;
+  std::string parts;
+  bool lifted;
+  int64_t ageMicros;
+  int64_t remainingMicros;
+  int32_t renewals;
+
+  _QuarantineRow__isset __isset;
+
+  void __set_parts(const std::string& val);
+
+  void __set_lifted(const bool val);
+
+  void __set_ageMicros(const int64_t val);
+
+  void __set_remainingMicros(const int64_t val);
+
+  void __set_renewals(const int32_t val);
+
+  bool operator == (const QuarantineRow & rhs) const
+  {
+    if (!(parts == rhs.parts))
+      return false;
+    if (!(lifted == rhs.lifted))
+      return false;
+    if (!(ageMicros == rhs.ageMicros))
+      return false;
+    if (!(remainingMicros == rhs.remainingMicros))
+      return false;
+    if (!(renewals == rhs.renewals))
+      return false;
+    return true;
+  }
+  bool operator != (const QuarantineRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuarantineRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuarantineRow &a, QuarantineRow &b);
+
+std::ostream& operator<<(std::ostream& out, const QuarantineRow& obj);
+
+typedef struct _CrashNews__isset {
+  _CrashNews__isset() : lost(false), down(false), begun(false), quarantined(false) {}
+  bool lost :1;
+  bool down :1;
+  bool begun :1;
+  bool quarantined :1;
+} _CrashNews__isset;
+
+class CrashNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashNews(const CrashNews&);
+  CrashNews& operator=(const CrashNews&);
+  CrashNews() noexcept {
+  }
+
+  virtual ~CrashNews() noexcept;
+  std::vector<LostRequest>  lost;
+  std::vector<TargetDown>  down;
+  std::vector<PartBegun>  begun;
+  std::vector<QuarantineRow>  quarantined;
+
+  _CrashNews__isset __isset;
+
+  void __set_lost(const std::vector<LostRequest> & val);
+
+  void __set_down(const std::vector<TargetDown> & val);
+
+  void __set_begun(const std::vector<PartBegun> & val);
+
+  void __set_quarantined(const std::vector<QuarantineRow> & val);
+
+  bool operator == (const CrashNews & rhs) const
+  {
+    if (!(lost == rhs.lost))
+      return false;
+    if (!(down == rhs.down))
+      return false;
+    if (!(begun == rhs.begun))
+      return false;
+    if (!(quarantined == rhs.quarantined))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashNews &a, CrashNews &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashNews& obj);
+
 typedef struct _LoadReport__isset {
-  _LoadReport__isset() : targets(false), accounts(false), configVersion(false), configAgeMicros(false), stampMicros(false), echoMicros(false), pressed(false), reads(false), partial(false), leaving(false), gone(false), echoIncarnation(false) {}
+  _LoadReport__isset() : targets(false), accounts(false), configVersion(false), configAgeMicros(false), stampMicros(false), echoMicros(false), pressed(false), reads(false), partial(false), leaving(false), gone(false), echoIncarnation(false), crashes(false) {}
   bool targets :1;
   bool accounts :1;
   bool configVersion :1;
@@ -1170,6 +1468,7 @@
   bool leaving :1;
   bool gone :1;
   bool echoIncarnation :1;
+  bool crashes :1;
 } _LoadReport__isset;
 
 class LoadReport : public virtual ::apache::thrift::TBase {
@@ -1200,6 +1499,7 @@
   std::vector<int32_t>  leaving;
   std::vector<int32_t>  gone;
   int64_t echoIncarnation;
+  CrashNews crashes;
 
   _LoadReport__isset __isset;
 
@@ -1227,6 +1527,8 @@
 
   void __set_echoIncarnation(const int64_t val);
 
+  void __set_crashes(const CrashNews& val);
+
   bool operator == (const LoadReport & rhs) const
   {
     if (!(targets == rhs.targets))
@@ -1253,6 +1555,10 @@
       return false;
     if (!(echoIncarnation == rhs.echoIncarnation))
       return false;
+    if (__isset.crashes != rhs.__isset.crashes)
+      return false;
+    else if (__isset.crashes && !(crashes == rhs.crashes))
+      return false;
     return true;
   }
   bool operator != (const LoadReport &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -124,6 +124,46 @@
   2: i64 part
 }
 
+// A request was lost at a target before its answer began. Parts of its prompt:
+// eight bytes each, the lowest first, without the last, which is its own.
+struct LostRequest {
+  1: i32 target
+  2: binary parts
+  3: i64 ageMicros
+}
+
+// A target's VM refused a connection: nothing listens on the target's port.
+struct TargetDown {
+  1: i32 target
+  2: i64 ageMicros
+}
+
+// The answer to a request with this part began.
+struct PartBegun {
+  1: i64 part
+  2: i64 ageMicros
+}
+
+// Requests with all of these parts are rejected, or are no longer.
+struct QuarantineRow {
+  // Encoded as in LostRequest, ascending.
+  1: binary parts
+  2: bool lifted
+  // Since the quarantine was imposed, renewed or lifted.
+  3: i64 ageMicros
+  // Until requests with the parts are tried again.
+  4: i64 remainingMicros
+  5: i32 renewals
+}
+
+// What routers know of prompts that crash targets.
+struct CrashNews {
+  1: list<LostRequest> lost
+  2: list<TargetDown> down
+  3: list<PartBegun> begun
+  4: list<QuarantineRow> quarantined
+}
+
 struct LoadReport {
   1: list<TargetUse> targets
   2: list<AccountUse> accounts
@@ -141,6 +181,7 @@
   11: list<i32> gone
   // Which life of the receiver sent the stamp that is echoed.
   12: i64 echoIncarnation
+  13: optional CrashNews crashes
 }
 
 // Asks a lead of the zone where a request may run. Numbers of requests are the
--- a/tests/process/forwarding/deadly_prompt_part_test.cpp
+++ b/tests/process/forwarding/deadly_prompt_part_test.cpp
@@ -69,13 +69,16 @@
   }
 };
 
-/// Requests with deadly parts that reached an engine after aFrom.
-auto DeadlySentAfter(const RouterZone& aZone, Instant aFrom) -> int
+/// Requests with the part that reached an engine after aFrom.
+auto DeadlySentAfter(const RouterZone& aZone,
+                     std::uint64_t aPart,
+                     Instant aFrom) -> int
 {
   int sent = 0;
   for (const auto& entry : aZone.Outcomes()) {
+    const bool hasPart = entry.second.deadlyPart_ == aPart;
     for (const auto at : entry.second.sent_) {
-      sent += entry.second.isDeadly_ && at > aFrom ? 1 : 0;
+      sent += hasPart && at > aFrom ? 1 : 0;
     }
   }
   return sent;
@@ -89,7 +92,7 @@
   int began = 0;
   for (const auto& entry : aZone.Outcomes()) {
     const auto& outcome = entry.second;
-    if (!outcome.isDeadly_ && outcome.arrived_ >= aFrom &&
+    if (!outcome.deadlyPart_ && outcome.arrived_ >= aFrom &&
         outcome.arrived_ < aTo) {
       ++arrived;
       began += outcome.beganAtFirstAttempt_ ? 1 : 0;
@@ -99,6 +102,7 @@
 }
 
 constexpr int kRouters = 16;
+constexpr int kTargets = 12;
 constexpr Duration kSettled = 3s;
 constexpr Duration kCalm = 4s;
 
@@ -108,27 +112,44 @@
   static auto MakeZone(double aLossRate = 0.02) -> RouterZone
   {
     return RouterZone({ .routers_ = kRouters,
-                        .targets_ = 12,
+                        .targets_ = kTargets,
                         .slots_ = 16,
                         .lossRate_ = aLossRate,
                         .seed_ = GetParam(),
                         .deadlyParts_ = { kDeadlyPart, kDeadlyPart + 1 } });
   }
 
-  /// Checks both bounds on a zone in which deadly requests still come.
-  static auto ExpectContained(const RouterZone& aZone, Instant aCalmFrom)
-    -> void
+  /// Checks the users' bounds on a zone in which deadly requests still come,
+  /// and that nothing but the deadly parts is in quarantine.
+  static auto ExpectContained(RouterZone* aZone, Instant aCalmFrom) -> void
   {
-    const auto& crashes = aZone.Crashes();
+    const auto& crashes = aZone->Crashes();
     ASSERT_FALSE(crashes.empty());
-    const auto counted = crashes[std::min(crashes.size(), kCountedCrashes) - 1];
-    EXPECT_LE(DeadlySentAfter(aZone, counted + kStableWindow),
-              kMaxSentAfterBound)
-      << crashes.size() << " crashes";
-    const auto calm = SoundShare(aZone, aCalmFrom, crashes.front());
+    auto first = aZone->Now();
+    auto last = aCalmFrom;
+    for (const auto& [part, times] : crashes) {
+      const auto counted = times[std::min(times.size(), kCountedCrashes) - 1];
+      EXPECT_LE(DeadlySentAfter(*aZone, part, counted + kStableWindow),
+                kMaxSentAfterBound)
+        << std::hex << part << std::dec << ": " << times.size() << " crashes";
+      first = std::min(first, times.front());
+      last = std::max(last, counted);
+    }
+    const auto calm = SoundShare(*aZone, aCalmFrom, first);
     const auto later =
-      SoundShare(aZone, counted + 2 * kStableWindow, aZone.Now());
+      SoundShare(*aZone, last + 2 * kStableWindow, aZone->Now());
     EXPECT_GE(later, 0.5 * calm);
+    const auto deadly = crashes.size() - crashes.count(0);
+    for (std::size_t router = 0; router < kRouters; ++router) {
+      EXPECT_EQ(aZone->Node(router).Quarantine().Count(), deadly) << router;
+    }
+  }
+
+  static auto ExpectNoQuarantine(RouterZone* aZone) -> void
+  {
+    for (std::size_t router = 0; router < kRouters; ++router) {
+      EXPECT_EQ(aZone->Node(router).Quarantine().Count(), 0U) << router;
+    }
   }
 };
 
@@ -143,7 +164,7 @@
   traffic.Run(kCalm);
   traffic.SetDeadlyShare(0.05);
   traffic.Run(22s);
-  ExpectContained(zone, calmFrom);
+  ExpectContained(&zone, calmFrom);
 }
 
 TEST_P(DeadlyPromptPartTest, TwoDeadlyPartsAreBothStopped)
@@ -156,7 +177,7 @@
   traffic.Run(kCalm);
   traffic.SetDeadlyShare(0.08);
   traffic.Run(22s);
-  ExpectContained(zone, calmFrom);
+  ExpectContained(&zone, calmFrom);
 }
 
 // One request a second may be deadly, and each seen by another router.
@@ -169,7 +190,88 @@
   traffic.Run(kCalm);
   traffic.SetDeadlyShare(0.01);
   traffic.Run(30s);
-  ExpectContained(zone, calmFrom);
+  ExpectContained(&zone, calmFrom);
+}
+
+// Routers restart without state, one after the other, while such requests come.
+TEST_P(DeadlyPromptPartTest, RestartedRoutersLearnTheQuarantine)
+{
+  auto zone = MakeZone();
+  zone.Run(kSettled);
+  PartTraffic traffic(&zone, kRouters, 0, GetParam());
+  const auto calmFrom = zone.Now();
+  traffic.Run(kCalm);
+  traffic.SetDeadlyShare(0.05);
+  traffic.Run(12s);
+  for (std::size_t router = 0; router < kRouters; ++router) {
+    zone.Restart(router, 2);
+    traffic.Run(700ms);
+  }
+  ExpectContained(&zone, calmFrom);
+}
+
+// Half of the engines crash at once, several times, and no part is to blame.
+TEST_P(DeadlyPromptPartTest, MassCrashesPutNoPartInQuarantine)
+{
+  auto zone = MakeZone();
+  zone.Run(kSettled);
+  PartTraffic traffic(&zone, kRouters, 0, GetParam());
+  traffic.Run(1s);
+  for (int round = 0; round < 6; ++round) {
+    for (int target = round % 2; target < kTargets; target += 2) {
+      zone.CrashEngine(MakeId<TargetId>("t" + std::to_string(target)));
+    }
+    traffic.Run(round % 2 == 0 ? 600ms : 3500ms);
+  }
+  ExpectNoQuarantine(&zone);
+}
+
+// All engines crash at once, again and again.
+TEST_P(DeadlyPromptPartTest, CrashesOfAllEnginesPutNoPartInQuarantine)
+{
+  auto zone = MakeZone();
+  zone.Run(kSettled);
+  PartTraffic traffic(&zone, kRouters, 0, GetParam());
+  traffic.Run(1s);
+  for (int round = 0; round < 5; ++round) {
+    for (int target = 0; target < kTargets; ++target) {
+      zone.CrashEngine(MakeId<TargetId>("t" + std::to_string(target)));
+    }
+    traffic.Run(5s);
+  }
+  ExpectNoQuarantine(&zone);
+}
+
+// Connections of one engine after the other are reset while the engines go on.
+TEST_P(DeadlyPromptPartTest, ResetConnectionsPutNoPartInQuarantine)
+{
+  auto zone = MakeZone();
+  zone.Run(kSettled);
+  PartTraffic traffic(&zone, kRouters, 0, GetParam());
+  traffic.Run(1s);
+  for (int round = 0; round < 100; ++round) {
+    zone.ResetConnections(
+      MakeId<TargetId>("t" + std::to_string(round % kTargets)));
+    traffic.Run(120ms);
+  }
+  ExpectNoQuarantine(&zone);
+}
+
+// A deadly part beside engines that crash for other reasons.
+TEST_P(DeadlyPromptPartTest, DeadlyPartIsFoundBesideMassCrashes)
+{
+  auto zone = MakeZone();
+  zone.Run(kSettled);
+  PartTraffic traffic(&zone, kRouters, 0, GetParam());
+  const auto calmFrom = zone.Now();
+  traffic.Run(kCalm);
+  traffic.SetDeadlyShare(0.03);
+  traffic.Run(500ms);
+  for (int target = 0; target < kTargets; target += 3) {
+    zone.CrashEngine(MakeId<TargetId>("t" + std::to_string(target)));
+  }
+  traffic.Run(20s);
+  ExpectContained(&zone, calmFrom);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, DeadlyPromptPartTest, testing::Range(1U, 6U));
--- /dev/null
+++ b/tests/process/forwarding/part_quarantine_test.cpp
@@ -0,0 +1,154 @@
+#include "process/forwarding/part_quarantine.h"
+#include "support/forwarding_fixture.h"
+
+#include <gtest/gtest.h>
+
+namespace burdockring {
+namespace {
+
+using testing::NiceMock;
+
+const PartIds kParts{ 3, 7 };
+constexpr std::uint64_t kDeadly = 7;
+
+class PartQuarantineTest : public testing::Test
+{
+protected:
+  NiceMock<MockEventLog> log_;
+  PartQuarantine quarantine_{ &log_ };
+
+  /// Three crashes with a deadly part, seen by this router.
+  auto Impose(PartQuarantine* aQuarantine) -> void
+  {
+    for (int i = 0; i < CrashEvidence::kConfirmedCrashes; ++i) {
+      const auto at = 1s + i * 1s;
+      aQuarantine->OnLost(TargetId{ i }, kParts, at);
+      aQuarantine->OnBegun({ 3 }, at + 100ms);
+      aQuarantine->OnDown(TargetId{ i }, at + 200ms);
+      aQuarantine->Tick(true, at + 400ms);
+    }
+  }
+
+  static auto RowsOf(const PartQuarantine& aQuarantine, Instant aNow)
+    -> wire::CrashNews
+  {
+    wire::CrashNews news;
+    news.quarantined = aQuarantine.Rows(aNow);
+    return news;
+  }
+};
+
+TEST_F(PartQuarantineTest, RejectsRequestsWithThePartOnly)
+{
+  Impose(&quarantine_);
+  EXPECT_EQ(quarantine_.Count(), 1U);
+  EXPECT_FALSE(quarantine_.Admits(1, kParts, true, 5s));
+  EXPECT_TRUE(quarantine_.Admits(2, { 3, 8 }, true, 5s));
+  EXPECT_GT(quarantine_.Remaining(kParts, 5s), 9min);
+}
+
+TEST_F(PartQuarantineTest, RouterThatIsNoLeadImposesNone)
+{
+  for (int i = 0; i < 5; ++i) {
+    quarantine_.OnLost(TargetId{ i }, kParts, 1s + i * 1s);
+    quarantine_.OnDown(TargetId{ i }, 1200ms + i * 1s);
+    quarantine_.Tick(false, 1400ms + i * 1s);
+  }
+  EXPECT_EQ(quarantine_.Count(), 0U);
+}
+
+TEST_F(PartQuarantineTest, OneRequestIsTriedAfterTheEnd)
+{
+  Impose(&quarantine_);
+  const auto end = 4s + PartQuarantine::kDuration;
+  EXPECT_FALSE(quarantine_.Admits(1, kParts, false, end));
+  EXPECT_TRUE(quarantine_.Admits(2, kParts, true, end));
+  EXPECT_FALSE(quarantine_.Admits(3, kParts, true, end + 1s));
+  EXPECT_TRUE(quarantine_.Admits(2, kParts, true, end + 1s));
+  EXPECT_TRUE(
+    quarantine_.Admits(4, kParts, true, end + PartQuarantine::kTrialTimeout));
+}
+
+TEST_F(PartQuarantineTest, LostTrialRenewsForTwiceAsLong)
+{
+  Impose(&quarantine_);
+  const auto end = 4s + PartQuarantine::kDuration;
+  EXPECT_TRUE(quarantine_.Admits(2, kParts, true, end));
+  quarantine_.OnLost(TargetId{ 9 }, kParts, end + 1s);
+  EXPECT_FALSE(
+    quarantine_.Admits(3, kParts, true, end + 2 * PartQuarantine::kDuration));
+  EXPECT_TRUE(quarantine_.Admits(4, kParts, true,
+                                 end + 2 * PartQuarantine::kDuration + 2s));
+}
+
+TEST_F(PartQuarantineTest, AnswerThatBeginsLiftsItEverywhere)
+{
+  PartQuarantine other(&log_);
+  Impose(&quarantine_);
+  other.OnPeerNews(RowsOf(quarantine_, 5s), 5s);
+  EXPECT_FALSE(other.Admits(1, kParts, true, 5s));
+  quarantine_.OnBegun(kParts, 6s);
+  EXPECT_TRUE(quarantine_.Admits(2, kParts, true, 7s));
+  other.OnPeerNews(RowsOf(quarantine_, 7s), 7s);
+  EXPECT_TRUE(other.Admits(3, kParts, true, 7s));
+}
+
+// A router that lifted it is not brought back by one that has not heard so.
+TEST_F(PartQuarantineTest, OutdatedRowDoesNotImposeAgain)
+{
+  PartQuarantine other(&log_);
+  Impose(&quarantine_);
+  other.OnPeerNews(RowsOf(quarantine_, 5s), 5s);
+  quarantine_.OnBegun(kParts, 6s);
+  quarantine_.OnPeerNews(RowsOf(other, 7s), 7s);
+  EXPECT_TRUE(quarantine_.Admits(2, kParts, true, 7s));
+}
+
+TEST_F(PartQuarantineTest, MalformedRowsAreSkipped)
+{
+  wire::CrashNews news;
+  wire::QuarantineRow row;
+  row.parts = "short";
+  news.quarantined = { row };
+  wire::LostRequest lost;
+  lost.parts = std::string(8 * 1000, 'x');
+  news.lost = { lost };
+  row.parts = EncodePartIds({ kDeadly });
+  row.ageMicros = -5;
+  row.remainingMicros = INT64_MAX;
+  row.renewals = 1000;
+  news.quarantined.push_back(row);
+  quarantine_.OnPeerNews(news, 1s);
+  EXPECT_EQ(quarantine_.Counters().malformed_, 2);
+  EXPECT_EQ(quarantine_.Count(), 1U);
+  EXPECT_LE(quarantine_.Remaining(kParts, 1s), PartQuarantine::kMaxIdle);
+}
+
+TEST_F(PartQuarantineTest, NumberOfQuarantinesIsBounded)
+{
+  wire::CrashNews news;
+  for (std::uint64_t part = 1; part <= 1000; ++part) {
+    wire::QuarantineRow row;
+    row.parts = EncodePartIds({ part });
+    row.remainingMicros = 1'000'000;
+    news.quarantined.push_back(row);
+  }
+  quarantine_.OnPeerNews(news, 1s);
+  EXPECT_EQ(quarantine_.Count(), PartQuarantine::kMaxQuarantines);
+}
+
+TEST_F(PartQuarantineTest, EventsAreSentInSeveralReports)
+{
+  quarantine_.OnLost(TargetId{ 1 }, kParts, 1s);
+  PartQuarantine other(&log_);
+  int reports = 0;
+  for (; quarantine_.HasEvents(); ++reports) {
+    const auto news = quarantine_.TakeEvents(1100ms);
+    ASSERT_EQ(news.lost.size(), 1U);
+    EXPECT_EQ(news.lost[0].ageMicros, 100'000);
+  }
+  EXPECT_EQ(reports, 3);
+}
+
+} // namespace
+} // namespace burdockring
--- a/tests/support/router_zone.h
+++ b/tests/support/router_zone.h
@@ -39,7 +39,8 @@
   struct Outcome
   {
     Instant arrived_{};
-    bool isDeadly_ = false;
+    /// The part of its prompt that crashes engines, if any.
+    std::optional<std::uint64_t> deadlyPart_;
     /// When each attempt reached an engine.
     std::vector<Instant> sent_;
     bool beganAtFirstAttempt_ = false;
@@ -57,7 +58,8 @@
 
 private:
   /// How a refused connection is seen.
-  static constexpr AttemptStage kRefusedStage = AttemptStage::kUnsent;
+  static constexpr AttemptStage kRefusedStage =
+    AttemptStage::kConnectionRefused;
 
   struct Router
   {
@@ -98,7 +100,8 @@
   std::multimap<Instant, BrokenAttempt> broken_;
   /// Engines that refuse connections, with the time until which they do.
   std::map<TargetId, Instant> down_;
-  std::vector<Instant> crashes_;
+  /// When engines crashed, by the part that did it; 0 for other crashes.
+  std::map<std::uint64_t, std::vector<Instant>> crashes_;
   std::map<RequestId, Outcome> outcomes_;
   std::map<TargetId, int> running_;
   std::map<std::string, std::size_t> hosts_;
@@ -242,10 +245,10 @@
   auto BeginAnswer(const EngineRun& aRun) -> void
   {
     auto& outcome = outcomes_[aRun.request_];
-    if (outcome.isDeadly_) {
+    if (outcome.deadlyPart_) {
       // The run itself is not yet seen to begin.
       firstEvents_.emplace(now_ + kRunTime, aRun);
-      CrashEngine(aRun.target_);
+      CrashEngine(aRun.target_, *outcome.deadlyPart_);
       return;
     }
     outcome.beganAtFirstAttempt_ = outcome.sent_.size() == 1;
@@ -334,9 +337,9 @@
   }
 
   /// Ends an engine and all its runs; it restarts after kEngineRestart.
-  auto CrashEngine(TargetId aTarget) -> void
+  auto CrashEngine(TargetId aTarget, std::uint64_t aPart = 0) -> void
   {
-    crashes_.push_back(now_);
+    crashes_[aPart].push_back(now_);
     down_[aTarget] = now_ + kEngineRestart;
     for (const auto& ended : EndRuns(
            [&](const EngineRun& aRun) { return aRun.target_ == aTarget; })) {
@@ -371,10 +374,11 @@
     const auto id = arrival.id_;
     auto& outcome = outcomes_[id];
     outcome.arrived_ = now_;
-    outcome.isDeadly_ =
-      std::any_of(aParts.begin(), aParts.end(), [&](const PromptPart& aPart) {
-        return options_.deadlyParts_.contains(aPart.id_);
-      });
+    for (const auto& part : aParts) {
+      if (options_.deadlyParts_.contains(part.id_)) {
+        outcome.deadlyPart_ = part.id_;
+      }
+    }
     arrival.facts_.parts_ = std::move(aParts);
     routers_[aRouter]->node_->OnArrival(std::move(arrival), now_);
     Apply(aRouter);
@@ -407,8 +411,9 @@
     return *routers_[aRouter]->node_;
   }
   [[nodiscard]] auto Now() const -> Instant { return now_; }
-  /// When engines crashed, in order.
-  [[nodiscard]] auto Crashes() const -> const std::vector<Instant>&
+  /// When engines crashed, in order, by the part that did it; 0 for others.
+  [[nodiscard]] auto Crashes() const
+    -> const std::map<std::uint64_t, std::vector<Instant>>&
   {
     return crashes_;
   }
