A stream that ends inside an event has been broken off

What callers saw: the first bytes of an event at the end of a stream that was marked complete, where the target's answer ended with its connection, or was framed whole around a cut event.

Cause: Exchange::OnEnd forwarded what followed the last whole event and ended the answer as complete. It now fails the attempt, so the stream is resumed after its last whole event or aborted.

EventSplitter.HoldsBackAnEventThatIsNotWhole asks IsInsideEvent in place of the bytes that DropRest returned; the condition is the same.

--- a/src/connection/event_splitter.cpp
+++ b/src/connection/event_splitter.cpp
@@ -55,9 +55,14 @@
   return rest_.size() > kMaxEventBytes;
 }
 
-auto EventSplitter::DropRest() -> std::string
+auto EventSplitter::IsInsideEvent() const -> bool
 {
-  return std::exchange(rest_, {});
+  return !rest_.empty();
+}
+
+auto EventSplitter::DropRest() -> void
+{
+  rest_.clear();
 }
 
 auto EventSplitter::LastEvent() const -> std::optional<std::uint64_t>
--- a/src/connection/event_splitter.h
+++ b/src/connection/event_splitter.h
@@ -9,11 +9,11 @@
 
 namespace burdockring {
 
-/// Cuts a stream of events into whole events, so that a stream that breaks in
-/// the middle of an event can go on behind the last whole one.
+/// Splits a stream of events into whole events, so that a stream that breaks in
+/// the middle of an event can be resumed after the last whole one.
 class EventSplitter
 {
-  /// An event that is longer never ends, as far as anybody should wait.
+  /// Longer events are treated as endless.
   static constexpr std::size_t kMaxEventBytes = 256U << 10U;
 
   std::string rest_;
@@ -22,12 +22,14 @@
   auto NoteIds(std::string_view aEvents) -> void;
 
 public:
-  /// Takes bytes and returns the whole events that they complete.
+  /// Adds bytes and returns the whole events that they complete.
   auto Take(std::string aBytes) -> std::string;
-  /// Whether the last event goes on for longer than any should.
+  /// Whether the incomplete event exceeds the maximum length.
   [[nodiscard]] auto IsTooLong() const -> bool;
-  /// The bytes behind the last whole event; they are given up.
-  auto DropRest() -> std::string;
+  /// Whether the bytes so far end inside an event.
+  [[nodiscard]] auto IsInsideEvent() const -> bool;
+  /// Drops the bytes after the last whole event.
+  auto DropRest() -> void;
   /// The id of the last whole event that bore one.
   [[nodiscard]] auto LastEvent() const -> std::optional<std::uint64_t>;
 };
--- a/src/connection/exchange.cpp
+++ b/src/connection/exchange.cpp
@@ -380,8 +380,13 @@
     return;
   }
   auto& node = port_->Node();
-  if (mode_ == Mode::kEvents) {
-    Forward(events_.DropRest());
+  if (mode_ == Mode::kEvents && events_.IsInsideEvent()) {
+    // The target broke off, however well its message was framed.
+    mode_ = Mode::kNone;
+    node.OnAttemptFailed(id_, attempt_, AttemptStage::kResponding,
+                         "stream ended inside an event", BootNow());
+    port_->Settle();
+    return;
   }
   const bool success = IsSuccess(answer_.status_);
   if (success) {
--- a/tests/connection/event_splitter_test.cpp
+++ b/tests/connection/event_splitter_test.cpp
@@ -13,7 +13,7 @@
   EXPECT_EQ(splitter.LastEvent(), 1U);
   EXPECT_EQ(splitter.Take("ta: b\n\n"), "id: 2\ndata: b\n\n");
   EXPECT_EQ(splitter.LastEvent(), 2U);
-  EXPECT_EQ(splitter.DropRest(), "");
+  EXPECT_FALSE(splitter.IsInsideEvent());
 }
 
 TEST(EventSplitter, DataThatLooksLikeAnIdIsNone)
