Reset the connection of a caller without chunks whose stream was cut

What callers saw: a stream that broke off looked complete to HTTP/1.0 callers, for whom the end of the connection is the end of the answer; an abort closed it in order. It is reset now. CallerWithoutChunksTest failed before with an end of file and passes.

--- a/src/connection/caller_connection.cpp
+++ b/src/connection/caller_connection.cpp
@@ -317,6 +317,11 @@
 auto CallerConnection::Abort() -> void
 {
   exchange_.reset();
+  if (!takesChunks_) {
+    // To such a caller the end of the connection is the end of the answer.
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
   Close();
 }
 
