Check that a resumed stream is continued by the next target's answer

What callers saw: after a stream broke off, the next target's answer could come out in the middle of it where it was a success that is no event stream, or where the target began again from the first event.

Cause: once a stream had begun only the status of the next answer was looked at. Its media type must be that of the first answer now, and its first event must follow the last one that was forwarded; otherwise the attempt fails, and the stream is resumed elsewhere or aborted.

--- a/src/connection/event_splitter.cpp
+++ b/src/connection/event_splitter.cpp
@@ -10,6 +10,22 @@
 constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kIdName = "id:";
 
+/// The id that a line beginning at aAt names, if it is a line with an id.
+auto IdAt(std::string_view aEvents, std::size_t aAt)
+  -> std::optional<std::uint64_t>
+{
+  if (aAt != 0 && aEvents[aAt - 1] != '\n') {
+    return std::nullopt;
+  }
+  auto line = aEvents.substr(aAt + kIdName.size());
+  line = line.substr(0, line.find('\n'));
+  line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+  std::uint64_t id = 0;
+  const auto parsed =
+    std::from_chars(line.data(), line.data() + line.size(), id);
+  return parsed.ec == std::errc() ? std::optional(id) : std::nullopt;
+}
+
 } // namespace
 
 auto EventSplitter::NoteIds(std::string_view aEvents) -> void
@@ -17,22 +33,25 @@
   // Ids rise, so the last line that bears one counts.
   for (auto at = aEvents.rfind(kIdName); at != std::string_view::npos;
        at = at == 0 ? std::string_view::npos : aEvents.rfind(kIdName, at - 1)) {
-    if (at != 0 && aEvents[at - 1] != '\n') {
-      continue;
-    }
-    auto line = aEvents.substr(at + kIdName.size());
-    line = line.substr(0, line.find('\n'));
-    line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
-    std::uint64_t id = 0;
-    const auto parsed =
-      std::from_chars(line.data(), line.data() + line.size(), id);
-    if (parsed.ec == std::errc()) {
+    if (const auto id = IdAt(aEvents, at)) {
       lastEvent_ = id;
       return;
     }
   }
 }
 
+auto EventSplitter::FirstEventOf(std::string_view aEvents)
+  -> std::optional<std::uint64_t>
+{
+  for (auto at = aEvents.find(kIdName); at != std::string_view::npos;
+       at = aEvents.find(kIdName, at + 1)) {
+    if (const auto id = IdAt(aEvents, at)) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
 auto EventSplitter::Take(std::string aBytes) -> std::string
 {
   // Only the new bytes and the one before them can hold a new end.
--- a/src/connection/event_splitter.h
+++ b/src/connection/event_splitter.h
@@ -30,6 +30,9 @@
   [[nodiscard]] auto IsInsideEvent() const -> bool;
   /// Drops the bytes after the last whole event.
   auto DropRest() -> void;
+  /// The id of the first event of aEvents that has one.
+  [[nodiscard]] static auto FirstEventOf(std::string_view aEvents)
+    -> std::optional<std::uint64_t>;
   /// The id of the last whole event that bore one.
   [[nodiscard]] auto LastEvent() const -> std::optional<std::uint64_t>;
 };
--- a/src/connection/exchange.cpp
+++ b/src/connection/exchange.cpp
@@ -31,12 +31,35 @@
   fmt::format_to(std::back_inserter(*aText), "{}: {}\r\n", aName, aValue);
 }
 
-auto ConnectionValue(const HttpFields& aFields) -> std::string_view
+/// Value of the field, or empty.
+auto FieldValue(const HttpFields& aFields, std::string_view aName)
+  -> std::string_view
 {
-  const auto* value = FindField(aFields, "Connection");
+  const auto* value = FindField(aFields, aName);
   return value == nullptr ? std::string_view() : *value;
 }
 
+auto ConnectionValue(const HttpFields& aFields) -> std::string_view
+{
+  return FieldValue(aFields, "Connection");
+}
+
+/// The media type without its parameters, or empty.
+auto MediaType(const MessageHead& aHead) -> std::string_view
+{
+  const auto value = FieldValue(aHead.fields_, "Content-Type");
+  return value.substr(0, value.find_first_of("; "));
+}
+
+/// Whether the answer can continue a stream that another target began.
+auto Continues(const MessageHead& aFirst, const MessageHead& aNext) -> bool
+{
+  const auto first = MediaType(aFirst);
+  const auto next = MediaType(aNext);
+  return IsSuccess(aNext.status_) &&
+         (first.empty() || next.empty() || IsSameFieldName(first, next));
+}
+
 } // namespace
 
 auto Exchange::RequestText(const SendAttempt& aAttempt) const -> std::string
@@ -141,6 +164,15 @@
   writer_->Finish();
 }
 
+auto Exchange::IsInOrder(std::string_view aEvents) const -> bool
+{
+  if (!resumedAfter_) {
+    return true;
+  }
+  const auto first = EventSplitter::FirstEventOf(aEvents);
+  return !first || *first > *resumedAfter_;
+}
+
 auto Exchange::NoteFirstByte() -> void
 {
   if (!firstByteSeen_) {
@@ -222,6 +254,7 @@
   mode_ = Mode::kNone;
   gathered_.clear();
   refusalBytes_ = 0;
+  resumedAfter_ = begun_ ? aEffect.lastEvent_ : std::nullopt;
   events_.DropRest();
   connection_ =
     port_->Targets().Send(aEffect, RequestText(aEffect), weak_from_this());
@@ -313,8 +346,8 @@
     Fail("answer without the target's signature");
     return false;
   }
-  if (begun_ && !IsSuccess(aHead.status_)) {
-    Fail("a stream could not go on");
+  if (begun_ && !Continues(answer_, aHead)) {
+    Fail("the answer does not continue the stream");
     return false;
   }
   if (!begun_) {
@@ -362,6 +395,11 @@
   if (whole.empty()) {
     return;
   }
+  if (!IsInOrder(whole)) {
+    Fail("a resumed stream repeats events");
+    return;
+  }
+  resumedAfter_.reset();
   NoteFirstByte();
   if (const auto last = events_.LastEvent()) {
     port_->Node().OnEventForwarded(id_, *last);
--- a/src/connection/exchange.h
+++ b/src/connection/exchange.h
@@ -5,7 +5,9 @@
 #include "connection/protocol_adapter.h"
 #include "connection/target_pool.h"
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -103,6 +105,8 @@
   std::string gathered_;
   std::size_t refusalBytes_ = 0;
   EventSplitter events_;
+  /// Last event before the attempt, until the first of a resumed stream comes.
+  std::optional<std::uint64_t> resumedAfter_;
   bool begun_ = false;
   bool firstByteSeen_ = false;
   bool done_ = false;
@@ -120,6 +124,8 @@
   auto WriteChunk(std::string aBytes) -> void;
   auto Forward(std::string aBytes) -> void;
   auto EndAnswer() -> void;
+  /// Whether the events continue the stream after those already forwarded.
+  [[nodiscard]] auto IsInOrder(std::string_view aEvents) const -> bool;
   auto NoteFirstByte() -> void;
   auto Fail(std::string_view aCause) -> void;
   /// The target did not run the request; nothing more is read from it.
