Answers without an id on a reused connection are not the request's own

What callers saw: 503 ('not run, try again') for a request that a target was running, where the target had written an earlier refusal once more on a kept connection; the request could run at a second target.

Cause: an answer without an attempt id was taken for the current request's. On a connection that has served others it may be a late copy, so the attempt fails now with its outcome unknown: 502, or a retry where the route allows one. Copies that carry the earlier id were skipped before already. ScriptedTarget can write bytes before its answer on a reused connection.

--- a/src/connection/exchange.cpp
+++ b/src/connection/exchange.cpp
@@ -323,7 +323,8 @@
   port_->Node().OnAttemptSent(id_, aAttempt);
 }
 
-auto Exchange::OnHead(int aAttempt, const MessageHead& aHead) -> bool
+auto Exchange::OnHead(int aAttempt, const MessageHead& aHead, bool aIsReused)
+  -> bool
 {
   if (aAttempt != attempt_ || done_) {
     return false;
@@ -335,6 +336,11 @@
                                            { "answer", facts.attemptId_ } });
     return false;
   }
+  if (facts.attemptId_.empty() && !attemptId_.empty() && aIsReused) {
+    // It may be a late copy of the answer to an earlier request.
+    Fail("an answer without an id on a reused connection");
+    return false;
+  }
   if (facts.notice_.isLeaving_ || facts.notice_.pauseDuration_ > 0us) {
     port_->Node().OnTargetNotice(id_, attempt_, facts.notice_, BootNow());
   }
--- a/src/connection/exchange.h
+++ b/src/connection/exchange.h
@@ -151,7 +151,8 @@
   auto SetPaused(bool aPaused) -> void;
 
   auto OnSending(int aAttempt) -> void override;
-  auto OnHead(int aAttempt, const MessageHead& aHead) -> bool override;
+  auto OnHead(int aAttempt, const MessageHead& aHead, bool aIsReused)
+    -> bool override;
   auto OnBody(int aAttempt, std::string aBody) -> void override;
   auto OnEnd(int aAttempt) -> void override;
   auto OnBroken(int aAttempt, AttemptStage aStage, std::string_view aCause)
--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -148,7 +148,7 @@
   if (!reader_->keep_alive() || reader_->need_eof()) {
     mayKeep_ = false;
   }
-  const bool ours = listener->OnHead(attempt_, head);
+  const bool ours = listener->OnHead(attempt_, head, isReused_);
   if (state_ != State::kBusy) {
     return false;
   }
@@ -278,6 +278,7 @@
     return;
   }
   state_ = State::kBusy;
+  isReused_ = true;
   sent_ = true;
   if (const auto listener = listener_.lock()) {
     listener->OnSending(aAttempt);
--- a/src/connection/target_connection.h
+++ b/src/connection/target_connection.h
@@ -29,8 +29,11 @@
 
   /// The request's first byte is about to be written.
   virtual auto OnSending(int aAttempt) -> void = 0;
-  /// False: the answer belongs to no request and is passed over.
-  virtual auto OnHead(int aAttempt, const MessageHead& aHead) -> bool = 0;
+  /// Returns false if the answer does not belong to the request; it is
+  /// skipped then. aIsReused: the connection has served other requests, whose
+  /// answers may come late.
+  virtual auto OnHead(int aAttempt, const MessageHead& aHead, bool aIsReused)
+    -> bool = 0;
   virtual auto OnBody(int aAttempt, std::string aBody) -> void = 0;
   /// The answer is complete.
   virtual auto OnEnd(int aAttempt) -> void = 0;
@@ -76,6 +79,8 @@
   int attempt_ = 0;
   State state_ = State::kConnecting;
   bool sent_ = false;
+  /// Whether the connection has served other attempts.
+  bool isReused_ = false;
   /// Whether the target's VM refused the connection.
   bool isRefused_ = false;
   bool writing_ = false;
--- a/src/standin/scripted_target.cpp
+++ b/src/standin/scripted_target.cpp
@@ -54,7 +54,7 @@
     return asio::redirect_error(asio::use_awaitable, error);
   };
   std::string buffer;
-  for (;;) {
+  for (bool isReused = false;; isReused = true) {
     const auto header = co_await asio::async_read_until(
       aSocket, asio::dynamic_buffer(buffer), "\r\n\r\n", token());
     if (error) {
@@ -66,8 +66,11 @@
                                 asio::transfer_exactly(length - buffer.size()),
                                 token());
     }
-    const auto answer = TakeAnswer(buffer.substr(0, length));
+    auto answer = TakeAnswer(buffer.substr(0, length));
     buffer.erase(0, length);
+    if (isReused) {
+      answer.bytes_ = answer.beforeOnReuse_ + answer.bytes_;
+    }
     co_await asio::async_write(aSocket, asio::buffer(answer.bytes_), token());
     do {
       for (const auto& piece : answer.later_) {
--- a/src/standin/scripted_target.h
+++ b/src/standin/scripted_target.h
@@ -29,6 +29,8 @@
   bool reset_ = false;
   /// Whether the later bytes come again and again until the caller closes.
   bool endless_ = false;
+  /// Raw bytes before the answer if the connection has served a request.
+  std::string beforeOnReuse_ = {};
 };
 
 /// A target that answers each request by a script, byte for byte, one
