Odd entries of other writers name no target, and end no follower

What operators saw elsewhere: one entry that was nested deeply, had a number too large or a port out of range, and the machines that read the list ended again and again or stopped following it.

Here decoders did not throw (22 odd entries and a property over odd JSON), but five kinds of entries named a target to use: port 0, slots beyond int, of 1e300 or with a fraction, a start beyond int64. Casts of such numbers were undefined and differ between x86-64 and arm64.

--- a/tests/platform/record_codec_test.cpp
+++ b/tests/platform/record_codec_test.cpp
@@ -105,6 +105,125 @@
   EXPECT_FALSE(DecodeNewest("{}").ok());
 }
 
+/// An engine's entry that names no engine to use.
+struct OddEntry
+{
+  const char* name_;
+  std::string text_;
+};
+
+auto operator<<(std::ostream& aStream, const OddEntry& aEntry) -> std::ostream&
+{
+  return aStream << aEntry.name_;
+}
+
+auto EntryWith(const std::string& aAddress, const std::string& aRest)
+  -> std::string
+{
+  return R"({"service":"pool","zone":"z","state":"ready","address":")" +
+         aAddress + "\"," + aRest + "}";
+}
+
+auto OddEntries() -> std::vector<OddEntry>
+{
+  constexpr std::size_t kDepth = 200'000;
+  const std::string good = "10.0.0.1:8000";
+  const std::string slots = R"("slots":4)";
+  return {
+    { "DeepArray", std::string(kDepth, '[') },
+    { "DeepArrayClosed", std::string(kDepth, '[') + std::string(kDepth, ']') },
+    { "DeepInAField", EntryWith(good, "\"slots\":" + std::string(kDepth, '[') +
+                                        std::string(kDepth, ']')) },
+    { "PortZero", EntryWith("10.0.0.1:0", slots) },
+    { "PortTooLarge", EntryWith("10.0.0.1:70000", slots) },
+    { "PortFarTooLarge", EntryWith("10.0.0.1:99999999999999999999", slots) },
+    { "PortNegative", EntryWith("10.0.0.1:-1", slots) },
+    { "NoPort", EntryWith("10.0.0.1", slots) },
+    { "HostIsNoAddress", EntryWith("engine-1:8000", slots) },
+    { "HostOutOfRange", EntryWith("10.0.0.999:8000", slots) },
+    { "HostEmpty", EntryWith(":8000", slots) },
+    { "SlotsTooLarge", EntryWith(good, R"("slots":1e300)") },
+    { "SlotsOverflow", EntryWith(good, R"("slots":1e400)") },
+    { "SlotsBeyondInt", EntryWith(good, R"("slots":3000000000)") },
+    { "SlotsNegative", EntryWith(good, R"("slots":-4)") },
+    { "SlotsFraction", EntryWith(good, R"("slots":2.5)") },
+    { "SlotsText", EntryWith(good, R"("slots":"4")") },
+    { "BornFraction", EntryWith(good, R"("slots":4,"born":1.5)") },
+    { "BornTooLarge",
+      EntryWith(good, R"("slots":4,"born":18446744073709551615)") },
+    { "Null", "null" },
+    { "Number", "1e308" },
+    { "RawBytes", "\xff\xfe{\"service\":\"pool\"}" },
+  };
+}
+
+class OddEntryTest : public testing::TestWithParam<OddEntry>
+{
+};
+
+TEST_P(OddEntryTest, NamesNoEngine)
+{
+  EXPECT_FALSE(DecodeTarget("k", GetParam().text_).ok());
+}
+
+INSTANTIATE_TEST_SUITE_P(Entries,
+                         OddEntryTest,
+                         testing::ValuesIn(OddEntries()),
+                         [](const testing::TestParamInfo<OddEntry>& aInfo) {
+                           return std::string(aInfo.param.name_);
+                         });
+
+/// A text of JSON with values that nobody expects, nested a few levels deep.
+auto OddJson(int aLevels) -> rc::Gen<std::string>
+{
+  const auto scalar = rc::gen::element<std::string>(
+    "null", "true", "-1", "0", "65536", "1e300", "-1e300", "1e-300",
+    "18446744073709551615", "-9223372036854775808", "2147483648", "1.5", "\"\"",
+    "\"10.0.0.1:1\"", "\"ready\"", "\"safe\"", "[]", "{}");
+  if (aLevels == 0) {
+    return scalar;
+  }
+  const auto name = rc::gen::element<std::string>(
+    "service", "zone", "state", "slots", "address", "born", "version", "routes",
+    "services", "tenants", "limits", "items", "more", "end", "key", "value",
+    "name", "host", "pathPrefix", "kind", "timeoutMs", "targetLatencyMs",
+    "maxAttempts", "trafficSplit", "weight", "engine", "kvTokens", "kvBytes",
+    "linkMbps", "maxConns", "maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs",
+    "tokensPerS", "apiKeys", "port", "millicores", "store_epoch");
+  const auto inner = OddJson(aLevels - 1);
+  const auto object = rc::gen::map(
+    rc::gen::container<std::vector<std::pair<std::string, std::string>>>(
+      rc::gen::pair(name, inner)),
+    [](const std::vector<std::pair<std::string, std::string>>& aFields) {
+      std::string text = "{";
+      for (const auto& field : aFields) {
+        text +=
+          (text.size() > 1 ? ",\"" : "\"") + field.first + "\":" + field.second;
+      }
+      return text + "}";
+    });
+  const auto array =
+    rc::gen::map(rc::gen::container<std::vector<std::string>>(inner),
+                 [](const std::vector<std::string>& aItems) {
+                   std::string text = "[";
+                   for (const auto& item : aItems) {
+                     text += (text.size() > 1 ? "," : "") + item;
+                   }
+                   return text + "]";
+                 });
+  return rc::gen::oneOf(scalar, object, array);
+}
+
+// Under the sanitizers a cast of a number out of range fails too.
+RC_GTEST_PROP(RecordCodec, NoOddValuesBreakADecoder, ())
+{
+  const auto text = *OddJson(4);
+  (void)DecodeNewest(text);
+  (void)DecodeConfiguration(text);
+  (void)DecodeTarget("k", text);
+  (void)DecodeRouter("k", text);
+}
+
 RC_GTEST_PROP(RecordCodec, NoBytesBreakADecoder, (const std::string& aBytes))
 {
   (void)DecodeBatch(aBytes);
