--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -3,14 +3,11 @@
 #include "process/forwarding/part_ids.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace burdockring {
 namespace {
 
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -25,10 +22,6 @@
 /// Margin for differences in clock rate, taken off the maximum configuration
 /// age for key checks.
 constexpr Duration kConfigAgeMargin = 250ms;
-/// Retry-After where no better estimate is known.
-constexpr Duration kDefaultRetryAfter = 700ms;
-/// Retry-After where any other router can serve the request.
-constexpr Duration kOtherRouterRetryAfter = 50ms;
 /// Wake-up interval while requests wait for dispatch.
 constexpr Duration kPumpInterval = 5ms;
 /// Wake-up interval otherwise, for the state of peers and targets.
@@ -36,37 +29,6 @@
 /// Assumed output tokens if the caller gives no estimate.
 constexpr int kDefaultOutputTokens = 64;
 
-/// Name, status and Retry-After of a rejection on arrival.
-struct AdmissionRow
-{
-  AdmissionResult result_;
-  std::string_view name_;
-  int status_;
-  Duration retryAfter_;
-};
-
-constexpr std::array kAdmissionTable{
-  AdmissionRow{ AdmissionResult::kAdmitted, "taken", 0, 0us },
-  AdmissionRow{ AdmissionResult::kNoConfiguration, "no_configuration",
-                kUnavailable, kDefaultRetryAfter },
-  AdmissionRow{ AdmissionResult::kStaleConfiguration, "stale_configuration",
-                kUnavailable, kDefaultRetryAfter },
-  AdmissionRow{ AdmissionResult::kNoRoute, "no_route", kNotFound, 0us },
-  AdmissionRow{ AdmissionResult::kUnknownKey, "unknown_key", kUnauthorized,
-                0us },
-  AdmissionRow{ AdmissionResult::kQuarantined, "quarantined", kUnavailable,
-                0us },
-  AdmissionRow{ AdmissionResult::kOverloaded, "overloaded", kUnavailable,
-                kOtherRouterRetryAfter },
-  AdmissionRow{ AdmissionResult::kStopping, "stopping", kUnavailable,
-                kOtherRouterRetryAfter },
-};
-
-auto AdmissionRowOf(AdmissionResult aDecision) -> const AdmissionRow&
-{
-  return kAdmissionTable.at(static_cast<std::size_t>(aDecision));
-}
-
 auto ToMillis(Duration aDuration) -> std::int64_t
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -2,6 +2,7 @@
 #define BURDOCKRING_PROCESS_FORWARDING_FORWARDING_NODE_H
 
 #include "process/forwarding/active_config.h"
+#include "process/forwarding/admission.h"
 #include "process/forwarding/dispatcher.h"
 #include "process/forwarding/event_log.h"
 #include "process/forwarding/forwarding_effects.h"
@@ -65,31 +66,6 @@
   kInvalidResponse,
 };
 
-/// Which requests a router accepts during shutdown. Requests that may not
-/// complete before the process exits are rejected.
-enum class AdmissionMode
-{
-  kAll,
-  kNoStreams,
-  kNone,
-};
-
-/// Result of the checks that a request passes before it is queued.
-enum class AdmissionResult
-{
-  kAdmitted,
-  kNoConfiguration,
-  /// The configuration is too old to reject a key or report a missing route.
-  kStaleConfiguration,
-  kNoRoute,
-  kUnknownKey,
-  /// A part of the prompt crashes targets.
-  kQuarantined,
-  /// This router's CPU is overloaded.
-  kOverloaded,
-  kStopping,
-};
-
 /// Counts since the process started.
 struct ForwardingCounters
 {
