--- a/src/connection/caller_connection.cpp
+++ b/src/connection/caller_connection.cpp
@@ -21,7 +21,7 @@
 constexpr int kHeaderTooLarge = 431;
 constexpr int kNotImplemented = 501;
 
-/// How long a connection whose last answer is out waits for the caller's end.
+/// How long to wait for the caller to close after the last answer.
 constexpr Duration kLingerTime = 1s;
 /// Longest time without an acknowledgement from the caller's side.
 constexpr Duration kUserTimeout = 5s;
@@ -163,7 +163,7 @@
 
 auto CallerConnection::StartRequest() -> void
 {
-  // A request that waited long in the kernel's queues may have no caller left.
+  // The caller of a request that waited long in kernel queues may be gone.
   if (HasLeft()) {
     Close();
     return;
@@ -306,8 +306,7 @@
     }
     return;
   }
-  // What the caller sent ahead is looked at once this answer's handlers are
-  // done.
+  // Pipelined requests are parsed after this answer's handlers have run.
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
     self->Parse();
     self->Read();
@@ -318,7 +317,7 @@
 {
   exchange_.reset();
   if (!takesChunks_) {
-    // To such a caller the end of the connection is the end of the answer.
+    // Without chunks, an orderly close marks the end of the answer.
     boost::system::error_code ignored;
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   }
--- a/src/connection/exchange.cpp
+++ b/src/connection/exchange.cpp
@@ -301,7 +301,7 @@
     return;
   }
   done_ = true;
-  // Closing the connection is what makes the target stop.
+  // Closing the connection makes the target stop.
   if (connection_) {
     connection_->Cancel();
     connection_.reset();
@@ -375,7 +375,7 @@
     case Mode::kRefused:
       refusalBytes_ += aBody.size();
       if (refusalBytes_ > kMaxRefusal) {
-        // What it says is known; its end is not worth a wait.
+        // The status is known, so the rest of the body is not needed.
         EndRefusal();
       }
       return;
@@ -425,7 +425,7 @@
   }
   auto& node = port_->Node();
   if (mode_ == Mode::kEvents && events_.IsInsideEvent()) {
-    // The target broke off, however well its message was framed.
+    // The target broke off, even if the message was framed correctly.
     mode_ = Mode::kNone;
     node.OnAttemptFailed(id_, attempt_, AttemptStage::kResponding,
                          "stream ended inside an event", BootNow());
--- a/src/connection/exchange.h
+++ b/src/connection/exchange.h
@@ -13,7 +13,7 @@
 
 namespace burdockring {
 
-/// How one request went, for the metrics.
+/// Timing and result of one request, for the metrics.
 struct ExchangeTiming
 {
   std::string account_;
@@ -24,7 +24,7 @@
   bool whole_ = false;
 };
 
-/// What an exchange needs of the process that it runs in.
+/// Interface of an exchange to the process that it runs in.
 class ForwardingPort
 {
 public:
@@ -34,17 +34,17 @@
   auto operator=(const ForwardingPort&) -> ForwardingPort& = delete;
 
   virtual auto Node() -> ForwardingNode& = 0;
-  /// Carries out what the node has decided.
+  /// Executes the node's effects.
   virtual auto Settle() -> void = 0;
   virtual auto Targets() -> TargetPool& = 0;
   [[nodiscard]] virtual auto Adapter() const -> const ProtocolAdapter& = 0;
   [[nodiscard]] virtual auto Log() -> EventLog& = 0;
   virtual auto Record(const ExchangeTiming& aTiming) -> void = 0;
-  /// Forgets a request that has ended.
+  /// Releases a request that has ended.
   virtual auto Release(RequestId aRequest) -> void = 0;
 };
 
-/// Takes an answer's bytes to the caller.
+/// Writes an answer to the caller.
 class AnswerWriter
 {
 public:
@@ -53,37 +53,37 @@
   AnswerWriter(const AnswerWriter&) = delete;
   auto operator=(const AnswerWriter&) -> AnswerWriter& = delete;
 
-  /// Whether the caller understands chunks.
+  /// Whether the caller supports chunked transfer coding.
   [[nodiscard]] virtual auto TakesChunks() const -> bool = 0;
-  /// Whether the connection ends with this answer; its header then says so.
+  /// Whether the connection closes after this answer, as its header says.
   [[nodiscard]] virtual auto EndsConnection() const -> bool = 0;
-  /// Ends the connection with this answer, so that the caller goes elsewhere.
+  /// Closes the connection after this answer, so that the caller reconnects.
   virtual auto EndConnection() -> void = 0;
   virtual auto Write(std::string aBytes) -> void = 0;
   /// The answer is complete.
   virtual auto Finish() -> void = 0;
-  /// Closes the connection, so that what was sent can't pass for complete.
+  /// Closes the connection so that the answer does not look complete.
   virtual auto Abort() -> void = 0;
 };
 
-/// One request from its reading to its last byte: carries out the attempts
-/// that the node orders and passes the answer on.
+/// Handles one request: performs the attempts that the node decides on, and
+/// forwards the answer.
 ///
-/// An answer other than a stream is gathered whole before its first byte goes
-/// on, so that one that breaks can be told from a whole one. Of a stream, whole
-/// events go on as they come.
+/// An answer that is no stream is buffered until it is complete, so that a
+/// broken one is not forwarded. Of a stream, each complete event is forwarded
+/// at once.
 class Exchange
   : public AttemptListener
   , public std::enable_shared_from_this<Exchange>
 {
-  /// Answers longer than this are passed on as they come.
+  /// Longer answers are forwarded without buffering.
   static constexpr std::size_t kMaxGathered = 256U << 10U;
-  /// Most of a refusal's body that is awaited.
+  /// Maximum size of a refusal's body that is read.
   static constexpr std::size_t kMaxRefusal = 64U << 10U;
 
   enum class Mode
   {
-    /// No answer yet, or it is not to be passed on.
+    /// No answer yet, or one that is not forwarded.
     kNone,
     kRefused,
     kGather,
@@ -119,7 +119,7 @@
   [[nodiscard]] auto RequestText(const SendAttempt& aAttempt) const
     -> std::string;
   auto BeginAnswer(bool aWithLength) -> void;
-  /// Says whether the caller's connection ends with this answer.
+  /// Adds the Connection field if the connection closes after this answer.
   auto AppendConnection(std::string* aText) -> void;
   auto WriteChunk(std::string aBytes) -> void;
   auto Forward(std::string aBytes) -> void;
@@ -128,7 +128,7 @@
   [[nodiscard]] auto IsInOrder(std::string_view aEvents) const -> bool;
   auto NoteFirstByte() -> void;
   auto Fail(std::string_view aCause) -> void;
-  /// The target did not run the request; nothing more is read from it.
+  /// The target did not run the request. Closes its connection.
   auto EndRefusal() -> void;
   auto RecordTiming(int aStatus, bool aWhole) -> void;
 
@@ -140,14 +140,14 @@
            std::string aBody,
            Instant aReceived);
 
-  /// Hands the request to the node.
+  /// Passes the request to the node.
   auto Start() -> void;
   auto Apply(const SendAttempt& aEffect) -> void;
   auto Apply(const AbortAttempt& aEffect) -> void;
   auto Apply(const FailRequest& aEffect) -> void;
-  /// The caller has gone; the writer must not be used any more.
+  /// The caller disconnected; the writer must not be used any more.
   auto OnCallerDisconnected() -> void;
-  /// The caller takes no more bytes for now, or takes them again.
+  /// Pauses or resumes reading, as the caller's buffer is full or not.
   auto SetPaused(bool aPaused) -> void;
 
   auto OnSending(int aAttempt) -> void override;
--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -17,13 +17,13 @@
 /// Longest time to set up a connection; a round trip within a region takes a
 /// few milliseconds.
 constexpr Duration kConnectTimeout = 350ms;
-/// How long an idle connection is kept where the target doesn't say.
+/// How long an idle connection is kept if the target states no timeout.
 constexpr Duration kDefaultIdleLife = 2s;
-/// Part of the target's own idle time-out that a connection is used within.
+/// Fraction of the target's idle timeout within which a connection is reused.
 constexpr double kIdlePart = 0.5;
 /// Longest time without an acknowledgement from the target's VM.
 constexpr Duration kUserTimeout = 1500ms;
-/// Time without traffic until the target's VM is asked for a sign of life.
+/// Idle time after which TCP keep-alive probes are sent.
 constexpr Duration kKeepAlive = 1s;
 constexpr int kFirstFinalStatus = 200;
 
@@ -89,7 +89,7 @@
     [self = shared_from_this()](const boost::system::error_code& aError,
                                 std::size_t /*aBytes*/) {
       self->writing_ = false;
-      // Where the target refused the rest, what it answered may still come.
+      // The target may have rejected the rest and still send its answer.
       if (aError) {
         self->mayKeep_ = false;
       }
--- a/src/connection/target_connection.h
+++ b/src/connection/target_connection.h
@@ -17,8 +17,8 @@
 
 namespace burdockring {
 
-/// Hears what becomes of an attempt on a connection. OnSending may come from
-/// within Send; the other calls come from the connection's own handlers.
+/// Receives the events of an attempt on a connection. OnSending may be called
+/// within Send; the others are called by the connection's own handlers.
 class AttemptListener
 {
 public:
@@ -42,9 +42,9 @@
                         std::string_view aCause) -> void = 0;
 };
 
-/// One connection to a target: serves one attempt at a time and may then be
-/// kept. A connection on which an answer was given up is closed, so that no
-/// late answer can meet another request.
+/// One connection to a target. Serves one attempt at a time and may be reused.
+/// It is closed if an answer was abandoned, so that a late answer is not taken
+/// for that of another request.
 class TargetConnection : public std::enable_shared_from_this<TargetConnection>
 {
 public:
@@ -62,9 +62,9 @@
 private:
   static constexpr std::size_t kReadBytes = 16U << 10U;
   static constexpr std::uint32_t kHeaderLimit = 64U << 10U;
-  /// Bytes that may wait for the end of a chunk's header or of the trailer.
+  /// Maximum size of an incomplete chunk header or trailer.
   static constexpr std::size_t kMaxUnparsed = 64U << 10U;
-  /// Bytes that are read past before an answer, and heads that promise one.
+  /// Maximum body bytes, and message heads, that are skipped before the answer.
   static constexpr std::size_t kMaxSkippedBytes = 256U << 10U;
   static constexpr int kMaxSkippedHeads = 16;
 
@@ -87,7 +87,7 @@
   bool reading_ = false;
   bool answering_ = false;
   bool skipping_ = false;
-  /// Bytes of bodies, and heads, that were read past for this attempt.
+  /// Body bytes and message heads that this attempt has skipped.
   std::size_t skippedBytes_ = 0;
   int skippedHeads_ = 0;
   bool paused_ = false;
@@ -117,16 +117,16 @@
   auto Send(int aAttempt,
             std::string aRequest,
             std::weak_ptr<AttemptListener> aListener) -> void;
-  /// Ends the attempt and closes, without a word to the listener.
+  /// Ends the attempt and closes without notifying the listener.
   auto Cancel() -> void;
-  /// Stops or goes on reading the answer, as its caller takes it.
+  /// Pauses or resumes reading the answer.
   auto SetPaused(bool aPaused) -> void;
   /// Closes a connection that has taken too long to connect.
   auto CheckConnecting(Instant aNow) -> void;
 
   [[nodiscard]] auto GetState() const -> State;
-  /// Whether an idle connection is surely still open at the target for a
-  /// request sent now.
+  /// Whether the target certainly still keeps the idle connection open for a
+  /// request that is sent now.
   [[nodiscard]] auto IsFresh(Instant aNow, Duration aMaxIdle) const -> bool;
 };
 
