--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -240,7 +240,8 @@
 auto ForwardingNode::IsAdmittedByQuarantine(const Request& aRequest,
                                             Instant aNow) -> bool
 {
-  return quarantine_.Admits(aRequest.arrival_.id_, aRequest.sharedParts_,
+  return !quarantine_.HasRows() ||
+         quarantine_.Admits(aRequest.arrival_.id_, aRequest.sharedParts_,
                             peers_.TriesQuarantined(), aNow);
 }
 
--- a/src/process/forwarding/part_quarantine.cpp
+++ b/src/process/forwarding/part_quarantine.cpp
@@ -323,9 +323,11 @@
     return quarantine.isLifted_ ? aNow - quarantine.changedAt_ > kLiftedLifetime
                                 : aNow - quarantine.until_ > kMaxIdle;
   });
-  if (!aMayImpose || aNow > judgeUntil_) {
+  if (!aMayImpose || aNow > judgeUntil_ ||
+      aNow - lastJudgement_ < kJudgeInterval) {
     return;
   }
+  lastJudgement_ = aNow;
   std::vector<PartIds> known;
   for (const auto& entry : quarantines_) {
     if (!entry.second.isLifted_) {
--- a/src/process/forwarding/part_quarantine.h
+++ b/src/process/forwarding/part_quarantine.h
@@ -62,6 +62,9 @@
   /// Reports in which each event is sent, as datagrams may be lost.
   static constexpr int kReportCount = 3;
   static constexpr std::size_t kMaxEvents = 64;
+  /// Minimum interval between judgements of the evidence, which cost most when
+  /// many targets crash at once.
+  static constexpr Duration kJudgeInterval = 50ms;
   /// Parts of one request that are reported.
   static constexpr std::size_t kMaxReportedParts = 32;
 
@@ -93,6 +96,7 @@
   QuarantineCounters counters_;
   /// Until when evidence may have changed that has not been judged.
   Instant judgeUntil_{};
+  Instant lastJudgement_{};
   bool hasUrgentNews_ = false;
   bool hasChanged_ = false;
 
