--- a/src/process/forwarding/crash_evidence.h
+++ b/src/process/forwarding/crash_evidence.h
@@ -100,7 +100,7 @@
   [[nodiscard]] static auto ScoreOf(const Suspect& aSuspect, Counts aCounts)
     -> Score;
   [[nodiscard]] static auto IsCause(const Score& aScore) -> bool;
-  /// The part, or parts that can't be told apart, with the most evidence among
+  /// The part, or indistinguishable parts, with the most evidence among
   /// the crashes in aOpen. Parts of aAmbiguous, causes of several parts each,
   /// keep the evidence that led to those.
   [[nodiscard]] auto FindStrongest(const std::set<const Crash*>& aOpen,
--- a/src/process/forwarding/part_quarantine.h
+++ b/src/process/forwarding/part_quarantine.h
@@ -52,7 +52,7 @@
   /// How long a request that is tried after the quarantine may take to begin
   /// its answer before another one is tried.
   static constexpr Duration kTrialTimeout = 30s;
-  /// How long peers are told of a quarantine that was lifted.
+  /// How long a lifted quarantine is still reported to peers.
   static constexpr Duration kLiftedLifetime = 30s;
   /// Quarantines without a trial for this long are dropped.
   static constexpr Duration kMaxIdle = 24h;
--- a/tests/main/repeated_refusal_test.cpp
+++ b/tests/main/repeated_refusal_test.cpp
@@ -31,8 +31,8 @@
   }
 };
 
-// The caller was told that a request had not run which a target was running,
-// or it ran at another target as well.
+// The caller got 503 for a request that a target was running, or the request
+// ran at another target as well.
 TEST_P(RepeatedRefusalTest, OnAKeptConnectionIsNotTheNextRequestsAnswer)
 {
   SetScripts([](const std::string& aRequest) {
--- a/tests/main/stream_continuation_test.cpp
+++ b/tests/main/stream_continuation_test.cpp
@@ -10,7 +10,7 @@
   "HTTP/1.1 200 OK\r\n" + kSigned +
   "Content-Type: text/event-stream\r\nContent-Length: 1000\r\n\r\n";
 
-/// How the target goes on with a stream that broke off elsewhere.
+/// A second target's answer after the first one's stream broke off.
 struct BadContinuation
 {
   const char* name_;
--- a/tests/process/forwarding/deadly_prompt_part_test.cpp
+++ b/tests/process/forwarding/deadly_prompt_part_test.cpp
@@ -24,8 +24,8 @@
 {
   RouterZone* zone_;
   std::mt19937 random_;
-  double deadlyShare_;
-  std::vector<std::uint64_t> deadlyParts_;
+  double deadlyShare_ = 0;
+  std::vector<std::uint64_t> deadlyParts_{ kDeadlyPart };
   int routers_;
   std::uint64_t count_ = 0;
 
@@ -37,20 +37,18 @@
 public:
   static constexpr Duration kGap = 10ms;
 
-  PartTraffic(RouterZone* aZone,
-              int aRouters,
-              double aDeadlyShare,
-              std::uint32_t aSeed,
-              std::vector<std::uint64_t> aDeadlyParts = { kDeadlyPart })
+  PartTraffic(RouterZone* aZone, int aRouters, std::uint32_t aSeed)
     : zone_(aZone)
     , random_(aSeed)
-    , deadlyShare_(aDeadlyShare)
-    , deadlyParts_(std::move(aDeadlyParts))
     , routers_(aRouters)
   {
   }
 
   auto SetDeadlyShare(double aShare) -> void { deadlyShare_ = aShare; }
+  auto SetDeadlyParts(std::vector<std::uint64_t> aParts) -> void
+  {
+    deadlyParts_ = std::move(aParts);
+  }
 
   auto Run(Duration aTime) -> void
   {
@@ -106,49 +104,60 @@
 constexpr Duration kSettled = 3s;
 constexpr Duration kCalm = 4s;
 
+/// A zone after some seconds of sound traffic.
 class DeadlyPromptPartTest : public testing::TestWithParam<std::uint32_t>
 {
 protected:
-  static auto MakeZone(double aLossRate = 0.02) -> RouterZone
+  RouterZone zone_{ { .routers_ = kRouters,
+                      .targets_ = kTargets,
+                      .slots_ = 16,
+                      .lossRate_ = 0.02,
+                      .seed_ = GetParam(),
+                      .deadlyParts_ = { kDeadlyPart, kDeadlyPart + 1 } } };
+  PartTraffic traffic_{ &zone_, kRouters, GetParam() };
+  Instant calmFrom_{};
+
+  auto SetUp() -> void override
+  {
+    zone_.Run(kSettled);
+    calmFrom_ = zone_.Now();
+    traffic_.Run(kCalm);
+  }
+
+  static auto TargetNumber(int aNumber) -> TargetId
   {
-    return RouterZone({ .routers_ = kRouters,
-                        .targets_ = kTargets,
-                        .slots_ = 16,
-                        .lossRate_ = aLossRate,
-                        .seed_ = GetParam(),
-                        .deadlyParts_ = { kDeadlyPart, kDeadlyPart + 1 } });
+    return MakeId<TargetId>("t" + std::to_string(aNumber));
   }
 
-  /// Checks the users' bounds on a zone in which deadly requests still come,
-  /// and that nothing but the deadly parts is in quarantine.
-  static auto ExpectContained(RouterZone* aZone, Instant aCalmFrom) -> void
+  /// Checks the users' bounds while deadly requests still come, and that
+  /// nothing but the deadly parts is in quarantine.
+  auto ExpectContained() -> void
   {
-    const auto& crashes = aZone->Crashes();
+    const auto& crashes = zone_.Crashes();
     ASSERT_FALSE(crashes.empty());
-    auto first = aZone->Now();
-    auto last = aCalmFrom;
+    auto first = zone_.Now();
+    auto last = calmFrom_;
     for (const auto& [part, times] : crashes) {
       const auto counted = times[std::min(times.size(), kCountedCrashes) - 1];
-      EXPECT_LE(DeadlySentAfter(*aZone, part, counted + kStableWindow),
+      EXPECT_LE(DeadlySentAfter(zone_, part, counted + kStableWindow),
                 kMaxSentAfterBound)
         << std::hex << part << std::dec << ": " << times.size() << " crashes";
       first = std::min(first, times.front());
       last = std::max(last, counted);
     }
-    const auto calm = SoundShare(*aZone, aCalmFrom, first);
-    const auto later =
-      SoundShare(*aZone, last + 2 * kStableWindow, aZone->Now());
+    const auto calm = SoundShare(zone_, calmFrom_, first);
+    const auto later = SoundShare(zone_, last + 2 * kStableWindow, zone_.Now());
     EXPECT_GE(later, 0.5 * calm);
     const auto deadly = crashes.size() - crashes.count(0);
     for (std::size_t router = 0; router < kRouters; ++router) {
-      EXPECT_EQ(aZone->Node(router).Quarantine().Count(), deadly) << router;
+      EXPECT_EQ(zone_.Node(router).Quarantine().Count(), deadly) << router;
     }
   }
 
-  static auto ExpectNoQuarantine(RouterZone* aZone) -> void
+  auto ExpectNoQuarantine() -> void
   {
     for (std::size_t router = 0; router < kRouters; ++router) {
-      EXPECT_EQ(aZone->Node(router).Quarantine().Count(), 0U) << router;
+      EXPECT_EQ(zone_.Node(router).Quarantine().Count(), 0U) << router;
     }
   }
 };
@@ -157,121 +166,83 @@
 // other, and so was each new request with the same part.
 TEST_P(DeadlyPromptPartTest, DeadlyPartStopsReachingEnginesAfterFiveCrashes)
 {
-  auto zone = MakeZone();
-  zone.Run(kSettled);
-  PartTraffic traffic(&zone, kRouters, 0, GetParam());
-  const auto calmFrom = zone.Now();
-  traffic.Run(kCalm);
-  traffic.SetDeadlyShare(0.05);
-  traffic.Run(22s);
-  ExpectContained(&zone, calmFrom);
+  traffic_.SetDeadlyShare(0.05);
+  traffic_.Run(22s);
+  ExpectContained();
 }
 
 TEST_P(DeadlyPromptPartTest, TwoDeadlyPartsAreBothStopped)
 {
-  auto zone = MakeZone();
-  zone.Run(kSettled);
-  PartTraffic traffic(&zone, kRouters, 0, GetParam(),
-                      { kDeadlyPart, kDeadlyPart + 1 });
-  const auto calmFrom = zone.Now();
-  traffic.Run(kCalm);
-  traffic.SetDeadlyShare(0.08);
-  traffic.Run(22s);
-  ExpectContained(&zone, calmFrom);
+  traffic_.SetDeadlyParts({ kDeadlyPart, kDeadlyPart + 1 });
+  traffic_.SetDeadlyShare(0.08);
+  traffic_.Run(22s);
+  ExpectContained();
 }
 
 // One request a second may be deadly, and each seen by another router.
 TEST_P(DeadlyPromptPartTest, RareDeadlyRequestsAreStoppedToo)
 {
-  auto zone = MakeZone();
-  zone.Run(kSettled);
-  PartTraffic traffic(&zone, kRouters, 0, GetParam());
-  const auto calmFrom = zone.Now();
-  traffic.Run(kCalm);
-  traffic.SetDeadlyShare(0.01);
-  traffic.Run(30s);
-  ExpectContained(&zone, calmFrom);
+  traffic_.SetDeadlyShare(0.01);
+  traffic_.Run(30s);
+  ExpectContained();
 }
 
 // Routers restart without state, one after the other, while such requests come.
 TEST_P(DeadlyPromptPartTest, RestartedRoutersLearnTheQuarantine)
 {
-  auto zone = MakeZone();
-  zone.Run(kSettled);
-  PartTraffic traffic(&zone, kRouters, 0, GetParam());
-  const auto calmFrom = zone.Now();
-  traffic.Run(kCalm);
-  traffic.SetDeadlyShare(0.05);
-  traffic.Run(12s);
+  traffic_.SetDeadlyShare(0.05);
+  traffic_.Run(12s);
   for (std::size_t router = 0; router < kRouters; ++router) {
-    zone.Restart(router, 2);
-    traffic.Run(700ms);
+    zone_.Restart(router, 2);
+    traffic_.Run(700ms);
   }
-  ExpectContained(&zone, calmFrom);
+  ExpectContained();
 }
 
 // Half of the engines crash at once, several times, and no part is to blame.
 TEST_P(DeadlyPromptPartTest, MassCrashesPutNoPartInQuarantine)
 {
-  auto zone = MakeZone();
-  zone.Run(kSettled);
-  PartTraffic traffic(&zone, kRouters, 0, GetParam());
-  traffic.Run(1s);
   for (int round = 0; round < 6; ++round) {
     for (int target = round % 2; target < kTargets; target += 2) {
-      zone.CrashEngine(MakeId<TargetId>("t" + std::to_string(target)));
+      zone_.CrashEngine(TargetNumber(target));
     }
-    traffic.Run(round % 2 == 0 ? 600ms : 3500ms);
+    traffic_.Run(round % 2 == 0 ? 600ms : 3500ms);
   }
-  ExpectNoQuarantine(&zone);
+  ExpectNoQuarantine();
 }
 
 // All engines crash at once, again and again.
 TEST_P(DeadlyPromptPartTest, CrashesOfAllEnginesPutNoPartInQuarantine)
 {
-  auto zone = MakeZone();
-  zone.Run(kSettled);
-  PartTraffic traffic(&zone, kRouters, 0, GetParam());
-  traffic.Run(1s);
   for (int round = 0; round < 5; ++round) {
     for (int target = 0; target < kTargets; ++target) {
-      zone.CrashEngine(MakeId<TargetId>("t" + std::to_string(target)));
+      zone_.CrashEngine(TargetNumber(target));
     }
-    traffic.Run(5s);
+    traffic_.Run(5s);
   }
-  ExpectNoQuarantine(&zone);
+  ExpectNoQuarantine();
 }
 
 // Connections of one engine after the other are reset while the engines go on.
 TEST_P(DeadlyPromptPartTest, ResetConnectionsPutNoPartInQuarantine)
 {
-  auto zone = MakeZone();
-  zone.Run(kSettled);
-  PartTraffic traffic(&zone, kRouters, 0, GetParam());
-  traffic.Run(1s);
   for (int round = 0; round < 100; ++round) {
-    zone.ResetConnections(
-      MakeId<TargetId>("t" + std::to_string(round % kTargets)));
-    traffic.Run(120ms);
+    zone_.ResetConnections(TargetNumber(round % kTargets));
+    traffic_.Run(120ms);
   }
-  ExpectNoQuarantine(&zone);
+  ExpectNoQuarantine();
 }
 
 // A deadly part beside engines that crash for other reasons.
 TEST_P(DeadlyPromptPartTest, DeadlyPartIsFoundBesideMassCrashes)
 {
-  auto zone = MakeZone();
-  zone.Run(kSettled);
-  PartTraffic traffic(&zone, kRouters, 0, GetParam());
-  const auto calmFrom = zone.Now();
-  traffic.Run(kCalm);
-  traffic.SetDeadlyShare(0.03);
-  traffic.Run(500ms);
+  traffic_.SetDeadlyShare(0.03);
+  traffic_.Run(500ms);
   for (int target = 0; target < kTargets; target += 3) {
-    zone.CrashEngine(MakeId<TargetId>("t" + std::to_string(target)));
+    zone_.CrashEngine(TargetNumber(target));
   }
-  traffic.Run(20s);
-  ExpectContained(&zone, calmFrom);
+  traffic_.Run(20s);
+  ExpectContained();
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, DeadlyPromptPartTest, testing::Range(1U, 6U));
--- a/tests/support/router_zone.h
+++ b/tests/support/router_zone.h
@@ -347,7 +347,7 @@
     }
   }
 
-  /// Loses the answer of every run at the engine, which goes on.
+  /// Breaks the connections of all runs at the engine, which stays up.
   auto ResetConnections(TargetId aTarget) -> void
   {
     for (const auto& ended : EndRuns(
