Pass on the parts of begun answers at once, and keep none

Found by reading the change: leads kept the prompt parts of all answers that had begun until the next placement message of another router. Where every router is a lead none comes, so the list grew without bound, and what was passed on late was dated by then. The dispatcher calls a handler now.

--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/forwarding/dispatcher.cpp
@@ -301,6 +301,11 @@
 {
 }
 
+auto Dispatcher::SetBegunHandler(BegunHandler aHandler) -> void
+{
+  onBegun_ = std::move(aHandler);
+}
+
 auto Dispatcher::SetTable(RouteTablePointer aTable) -> void
 {
   table_ = std::move(aTable);
@@ -368,7 +373,9 @@
   load.Remove({ 0, run.addedLoad_.prefillTokens_, 0 });
   LearnPrefillSpeed(run, aNow);
   load.OnSuccess();
-  begunParts_.insert(begunParts_.end(), run.parts_.begin(), run.parts_.end());
+  if (onBegun_) {
+    onBegun_(run.parts_, aNow);
+  }
   for (const auto id : run.parts_) {
     if (policy_.IsEnabled(Mechanism::kCacheReports) &&
         load.OnPartCached(id, true, aNow) &&
@@ -504,11 +511,6 @@
   return std::exchange(decisions_, {});
 }
 
-auto Dispatcher::TakeBegunParts() -> PartIds
-{
-  return std::exchange(begunParts_, {});
-}
-
 auto Dispatcher::OnPeerReport(RouterId aPeer,
                               const wire::LoadReport& aReport,
                               Instant aNow) -> void
--- a/src/process/forwarding/dispatcher.h
+++ b/src/process/forwarding/dispatcher.h
@@ -9,6 +9,7 @@
 #include "process/forwarding/target_selector.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -98,6 +99,11 @@
 /// waves and bursts, with one account far above its usual rate.
 class Dispatcher
 {
+public:
+  /// Called with the shared parts of the run's prompt.
+  using BegunHandler = std::function<void(const PartIds& aParts, Instant aNow)>;
+
+private:
   /// Longest wait of a continued stream.
   static constexpr Duration kContinuationMaxWait = 200ms;
   /// Fraction of the latency objective within which the first event must be
@@ -165,9 +171,7 @@
   ReportDelta delta_;
   /// Prompt parts that targets have cached since the last report to the peers.
   std::vector<wire::PartRead> partReads_;
-  /// Prompt parts of the answers that have begun since the last
-  /// TakeBegunParts.
-  PartIds begunParts_;
+  BegunHandler onBegun_;
   std::mt19937 random_;
   /// Until when accounts beyond their share get the pressure limits, because of
   /// rejections by this router and by its peers.
@@ -239,6 +243,8 @@
              std::uint32_t aSeed,
              const ForwardingPolicy& aPolicy = {});
 
+  /// Sets the function that is called when the answer of a run begins.
+  auto SetBegunHandler(BegunHandler aHandler) -> void;
   /// When a request that finds no capacity is rejected.
   [[nodiscard]] auto WaitDeadline(const WorkItem& aItem) const -> Instant;
 
@@ -260,8 +266,6 @@
   /// Retries waiting requests and rejects those whose wait has expired.
   auto RetryWaiting(Instant aNow) -> void;
   auto TakeDecisions() -> std::vector<DispatchDecision>;
-  /// Shared prompt parts of the answers that have begun since the last call.
-  auto TakeBegunParts() -> PartIds;
 
   auto OnPeerReport(RouterId aPeer,
                     const wire::LoadReport& aReport,
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -546,6 +546,9 @@
   , placementStateLog_(&dispatcher_, aLog)
   , overloadController_(aOptions.policy_)
 {
+  dispatcher_.SetBegunHandler([this](const PartIds& aParts, Instant aNow) {
+    quarantine_.OnBegun(aParts, aNow);
+  });
 }
 
 auto ForwardingNode::SetOptions(const ForwardingOptions& aOptions) -> void
@@ -858,7 +861,6 @@
     placementServer_.OnMessage(from, aEnvelope.incarnation, aEnvelope.placement,
                                aNow);
     placements_.OnMessage(from, aEnvelope.placement, aNow);
-    quarantine_.OnBegun(dispatcher_.TakeBegunParts(), aNow);
     TakeDecisions(aNow);
   }
 }
--- a/tests/process/forwarding/dispatcher_test.cpp
+++ b/tests/process/forwarding/dispatcher_test.cpp
@@ -559,5 +559,22 @@
   EXPECT_TRUE(TakeStarts().contains(3));
 }
 
+// They were kept until the next message of another router, without bound where
+// every router is a lead.
+TEST_F(DispatcherTest, ReportsThePartsOfAnAnswerWhenItBegins)
+{
+  SetUpPool(1, 8, true);
+  std::vector<std::pair<PartIds, Instant>> begun;
+  dispatcher_->SetBegunHandler([&](const PartIds& aParts, Instant aNow) {
+    begun.emplace_back(aParts, aNow);
+  });
+  dispatcher_->Submit(MakeItem("a", 5000, 1000, 7, 1s), 1s);
+  dispatcher_->OnFirstEvent(1, 1200ms);
+  dispatcher_->OnFirstEvent(1, 1300ms);
+  ASSERT_EQ(begun.size(), 1U);
+  EXPECT_EQ(begun[0].first, PartIds{ 7 });
+  EXPECT_EQ(begun[0].second, 1200ms);
+}
+
 } // namespace
 } // namespace burdockring
