--- a/review/support/review.h
+++ b/review/support/review.h
@@ -537,8 +537,10 @@
     return "{\"items\":[" + list +
            "],\"more\":false,\"end\":" + std::to_string(items.size()) + "}";
   }
-  auto Read(const std::string& aTopic, std::size_t aFrom, double aWaitMs)
-    -> std::string
+  auto Read(const std::string& aTopic,
+            std::size_t aFrom,
+            std::size_t aMostBytes,
+            double aWaitMs) -> std::string
   {
     std::unique_lock lock(mutex_);
     const auto& items = topics_[aTopic];
@@ -547,9 +549,16 @@
     auto bytes = Number(items.size(), 8) + Number(0, 8);
     for (auto i = aFrom; i < items.size(); ++i) {
       const auto value = items[i].value_.value_or("");
-      bytes += Number(1 + items[i].key_.size() + value.size(), 4) +
-               Number(items[i].key_.size(), 1) + items[i].key_ + value;
+      const auto length = 1 + items[i].key_.size() + value.size();
+      if (i > aFrom && bytes.size() + length > aMostBytes) {
+        break;
+      }
+      bytes += Number(length, 4) + Number(items[i].key_.size(), 1) +
+               items[i].key_ + value;
     }
+    lock.unlock();
+    // As on the sheets: 4 ms an answer, and readMbPerS is 80.
+    SleepMs(4.0 + static_cast<double>(bytes.size()) / 80'000.0);
     return bytes;
   }
   auto Append(const std::string& aTopic, const std::string& aBytes) -> void
@@ -584,6 +593,7 @@
         answer = Reply(200, Newest(topic));
       } else if (target.starts_with("/-/log-read")) {
         answer = Reply(200, Read(topic, std::stoul(Query(target, "from")),
+                                 std::stoul(Query(target, "maxKb")) * 1024,
                                  std::atof(Query(target, "waitMs").c_str())));
       } else if (target.starts_with("/-/log-append")) {
         Append(topic, request.body_);
