--- a/review/support/review.h
+++ b/review/support/review.h
@@ -467,6 +467,8 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, std::vector<Item>> topics_;
+  std::map<std::string, std::vector<Item>> copy_;
+  std::atomic<int> era_{ 1 };
   std::vector<std::unique_ptr<Server>> doors_;
   std::atomic<bool> stopping_{ false };
   /// The door that read the engines last.
@@ -510,11 +512,12 @@
     const auto begin = at + aName.size() + 1;
     return aTarget.substr(begin, aTarget.find('&', begin) - begin);
   }
-  static auto Reply(int aStatus, const std::string& aBody) -> std::string
+  auto Reply(int aStatus, const std::string& aBody) -> std::string
   {
     return "HTTP/1.1 " + std::to_string(aStatus) +
-           " X\r\nStore-Era: 1\r\nContent-Length: " +
-           std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+           " X\r\nStore-Era: " + std::to_string(era_) +
+           "\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+           aBody;
   }
 
   auto Newest(const std::string& aTopic) -> std::string
@@ -591,6 +594,10 @@
       std::string answer;
       if (target.starts_with("/-/log-newest")) {
         answer = Reply(200, Newest(topic));
+      } else if (target.starts_with("/-/log-read") &&
+                 std::stoul(Query(target, "from")) > Size(topic)) {
+        // An offset of an earlier era.
+        answer = Reply(410, "{\"first\":0}");
       } else if (target.starts_with("/-/log-read")) {
         answer = Reply(200, Read(topic, std::stoul(Query(target, "from")),
                                  std::stoul(Query(target, "maxKb")) * 1024,
@@ -625,6 +632,31 @@
   }
   auto Door(int aDoor) -> Server& { return *doors_.at(aDoor); }
   [[nodiscard]] auto LastReader() const -> int { return lastReader_; }
+  /// Takes a copy of all topics.
+  auto TakeCopy() -> void
+  {
+    const std::lock_guard lock(mutex_);
+    copy_ = topics_;
+  }
+  /// Goes back to the copy, in a new era.
+  auto Restore() -> void
+  {
+    const std::lock_guard lock(mutex_);
+    topics_ = copy_;
+    ++era_;
+  }
+  /// Away for all, or back.
+  auto SetAway(bool aAway) -> void
+  {
+    for (const auto& door : doors_) {
+      aAway ? door->Refuse() : door->Listen();
+    }
+  }
+  [[nodiscard]] auto Size(const std::string& aTopic) -> std::size_t
+  {
+    const std::lock_guard lock(mutex_);
+    return topics_[aTopic].size();
+  }
   /// Without a value, the key is dropped.
   auto Put(const std::string& aTopic,
            const std::string& aKey,
