Review case 1: after its last tenant is taken away, a configuration lets every key run

A version whose list of tenants is empty takes the last keys away; requests with them, and with keys that were never held, go on to run.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,7 +1,6 @@
-// A drill: the store is away for a moment and comes back from a copy some
-// seconds old, which still has a key that was taken away since. All routers are
-// killed at that time and start again. Do requests with the key run until the
-// operator has written again?
+// A new version takes the last tenant away: its list of tenants is empty. Do
+// requests with the tenant's key run later than revokeMs after it? And requests
+// with a key that no configuration ever held?
 
 #include "../support/review.h"
 
@@ -9,41 +8,52 @@
 
 using namespace review;
 
-constexpr int kRouters = 3;
+constexpr int kRouters = 2;
+constexpr int kClients = 6;
 constexpr double kRevokeMs = 5000;
-/// The operator and the engines have written again by then.
-constexpr double kRewriteMs = 2000;
-constexpr const char* kTaken = "asnmgkcuyj8pjbvk9m68";
+constexpr const char* kHeldKey = "asnmgkcuyj8pjbvk9m68";
+constexpr const char* kForeignKey = "zz00never0held0zz000";
 
-auto AnswerSoon(const Message& aRequest, Link* aLink) -> bool
-{
-  SleepMs(15);
-  return aLink->Write(
-    AnswerBytes(aRequest.Field("x-attempt-id"), "stamp", "counted"));
-}
+std::mutex tenantMutex;
+/// The tenant that the engine was told, by attempt.
+std::map<std::string, std::string> tenants;
 
-/// For comparison, with TROUBLE=0: the routers are killed without a drill.
-auto KillsOnly() -> bool
+auto Record800Bytes(const Message& aRequest, Link* aLink) -> bool
 {
-  const char* value = std::getenv("KILLS_ONLY");
-  return value != nullptr && std::string(value) == "1";
+  const auto id = aRequest.Field("x-attempt-id");
+  {
+    const std::lock_guard lock(tenantMutex);
+    tenants[id] = aRequest.Field("x-tenant");
+  }
+  SleepMs(15);
+  return aLink->Write(AnswerBytes(id, "stamp", std::string(800, 'x')));
 }
 
-auto Configuration(int aVersion, bool aHasKey) -> std::string
+/// One tenant as in the pages' example, or none.
+auto Configuration(int aVersion, bool aHasTenant) -> std::string
 {
+  const auto tenant = "{\"name\":\"hule930\",\"apiKeys\":[\"" +
+                      std::string(kHeldKey) +
+                      "\",\"k7b2ex5wa5xwyhks8nbk\"],\"priority\":1}";
   return "{\"version\":" + std::to_string(aVersion) +
          ",\"routes\":[{\"name\":\"r\",\"host\":\"h.example\","
          "\"pathPrefix\":\"/book/\",\"kind\":\"unsafe\",\"timeoutMs\":1000,"
-         "\"targetLatencyMs\":100,\"priority\":1,\"service\":\"app\","
+         "\"targetLatencyMs\":100,\"priority\":2,\"service\":\"app\","
          "\"maxAttempts\":1,\"public\":false}],\"services\":[{\"name\":\"app\","
-         "\"healthPath\":\"/health\",\"maxConns\":110}],\"tenants\":["
-         "{\"name\":\"other\",\"apiKeys\":[\"q2m7xw0dlr5tfhv1zb4n\"]},"
-         "{\"name\":\"hotel\",\"apiKeys\":[" +
-         (aHasKey ? "\"" + std::string(kTaken) + "\"" : std::string()) +
-         "]}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
-         "\"headerTimeoutMs\":5000,\"idleTimeoutMs\":15000}}";
+         "\"healthPath\":\"/health\",\"maxConns\":110,\"protocol\":\"h1\","
+         "\"tls\":false}],\"limits\":{\"maxHeaderBytes\":16384,"
+         "\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,"
+         "\"idleTimeoutMs\":15000},\"tenants\":[" +
+         (aHasTenant ? tenant : std::string()) + "]}";
 }
 
+struct Sent
+{
+  double at_ = 0;
+  bool isHeldKey_ = true;
+  int status_ = 0;
+};
+
 } // namespace
 
 auto main(int aCount, char** aArguments) -> int
@@ -53,10 +63,10 @@
   const Folder folder;
   Store store;
   std::vector<std::unique_ptr<Engine>> engines;
-  for (int i = 0; i < kRouters; ++i) {
+  for (int i = 0; i < 3; ++i) {
     engines.push_back(
       std::make_unique<Engine>(&store, "i-app-" + std::to_string(i), "app",
-                               "z" + std::to_string(i), AnswerSoon));
+                               "z" + std::to_string(i % 2), Record800Bytes));
   }
   store.Put("keyed.op", "config", Configuration(7, true));
   std::vector<std::unique_ptr<Router>> routers;
@@ -71,98 +81,80 @@
       return kCouldNotRun;
     }
   }
-  SleepMs(3000);
+  SleepMs(4000);
   const double begin = NowMs();
   std::atomic<bool> stop{ false };
   std::atomic<int> number{ 0 };
   std::mutex mutex;
-  std::map<std::string, double> sentAt;
-  std::map<int, int> statuses;
+  std::map<std::string, Sent> all;
   std::vector<std::thread> clients;
-  for (int client = 0; client < 12; ++client) {
+  // The last client has a key that no configuration ever held.
+  for (int client = 0; client < kClients; ++client) {
     clients.emplace_back([&, client] {
+      const bool isHeldKey = client + 1 < kClients;
+      const auto fields = "Authorization: Token " +
+                          std::string(isHeldKey ? kHeldKey : kForeignKey) +
+                          "\r\n";
+      const auto& router = routers[client % kRouters];
       for (int i = 0; !stop; ++i) {
-        SleepUntil(begin + i * 60 + client * 5);
+        SleepUntil(begin + i * 100 + client * 15);
         const auto id = "req-" + std::to_string(++number);
-        const double at = NowMs();
-        {
-          const std::lock_guard lock(mutex);
-          sentAt[id] = at;
-        }
-        const auto answer = Ask(
-          routers[client % kRouters]->Front(),
-          RequestBytes("/book/x", id, 1000,
-                       "Authorization: Token " + std::string(kTaken) + "\r\n"),
-          1500);
-        record.Line("sent %s to %s at %.1f answer %d", id.c_str(),
-                    routers[client % kRouters]->Name().c_str(), at,
-                    answer.Status());
+        Sent sent{ NowMs(), isHeldKey, 0 };
+        sent.status_ =
+          Ask(router->Front(), RequestBytes("/book/x", id, 1000, fields), 1500)
+            .Status();
+        record.Line("sent %s to %s at %.1f with %s key, answer %d", id.c_str(),
+                    router->Name().c_str(), sent.at_,
+                    isHeldKey ? "the tenant's" : "a foreign", sent.status_);
         const std::lock_guard lock(mutex);
-        ++statuses[answer.Status()];
+        all[id] = sent;
       }
     });
   }
-  SleepMs(1000);
-  store.TakeCopy();
-  SleepMs(500);
-  store.Put("keyed.op", "config", Configuration(8, false));
-  const double revokedAt = NowMs();
-  record.Line("version 8 takes the key away");
-  SleepMs(5500);
-  double backAt = NowMs();
+  SleepMs(2000);
+  const double takenAt = NowMs();
   if (Trouble()) {
-    record.Line("the store is away");
-    store.SetAway(true);
-    SleepMs(500);
-    store.Restore();
-    store.SetAway(false);
-    backAt = NowMs();
-    record.Line("the store is back from a copy of 6.5 s before");
+    store.Put("keyed.op", "config", Configuration(8, false));
+    record.Line("version 8 has no tenant any more; acknowledged at %.1f",
+                takenAt);
   }
-  if (Trouble() || KillsOnly()) {
-    SleepMs(200);
-    record.Line("all routers are killed, and start again");
-    for (const auto& router : routers) {
-      router->Signal(SIGKILL);
-      router->Wait();
-    }
-    SleepMs(200);
-    for (const auto& router : routers) {
-      router->Start();
-    }
-  }
-  SleepUntil(backAt + kRewriteMs);
-  store.Put("keyed.op", "config", Configuration(8, false));
-  record.Line("the operator has written version 8 again");
-  SleepMs(2000);
+  SleepMs(8000);
   stop = true;
   for (auto& client : clients) {
     client.join();
   }
-  int late = 0;
+  std::set<std::string> ran;
   for (const auto& engine : engines) {
     for (const auto& run : engine->Runs()) {
-      const double lag = sentAt[run.attemptId_] - revokedAt;
-      if (lag > kRevokeMs) {
-        ++late;
-        record.Line("REVOKED KEY RUNS %s at %s, sent %.0f ms after the "
-                    "acknowledgement, %.0f ms after the store's return",
-                    run.attemptId_.c_str(), run.engine_.c_str(), lag,
-                    sentAt[run.attemptId_] - backAt);
-      }
+      ran.insert(run.attemptId_);
     }
   }
-  std::string answers;
-  for (const auto& entry : statuses) {
-    answers +=
-      " " + std::to_string(entry.first) + " x " + std::to_string(entry.second);
-  }
-  record.Line("answers%s; run later than revokeMs after the key was taken %d",
-              answers.c_str(), late);
-  std::printf("answers%s; run later than revokeMs after the key was taken %d\n",
-              answers.c_str(), late);
-  if (statuses[200] < 50) {
-    return kCouldNotRun;
+  int before = 0;
+  int late = 0;
+  int foreign = 0;
+  for (const auto& [id, sent] : all) {
+    if (!ran.contains(id)) {
+      continue;
+    }
+    before += sent.isHeldKey_ && sent.at_ < takenAt ? 1 : 0;
+    if (!sent.isHeldKey_) {
+      ++foreign;
+      record.Line("FOREIGN KEY RUNS %s, sent at %.1f, X-Tenant '%s'",
+                  id.c_str(), sent.at_, tenants[id].c_str());
+    } else if (Trouble() && sent.at_ - takenAt > kRevokeMs) {
+      ++late;
+      record.Line("REVOKED KEY RUNS %s, sent %.0f ms after the "
+                  "acknowledgement, X-Tenant '%s'",
+                  id.c_str(), sent.at_ - takenAt, tenants[id].c_str());
+    }
   }
-  return late > 0 ? kBroken : kHeld;
+  record.Line("requests %zu; run before the change %d; run with the key later "
+              "than revokeMs after it was taken away %d; run with a key that "
+              "was never held %d",
+              all.size(), before, late, foreign);
+  std::printf("requests %zu; run before the change %d; run with the key later "
+              "than revokeMs after it was taken away %d; run with a key that "
+              "was never held %d\n",
+              all.size(), before, late, foreign);
+  return before < 20 ? kCouldNotRun : late + foreign > 0 ? kBroken : kHeld;
 }
