--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -112,9 +112,12 @@
     });
   }
   SleepMs(2000);
-  const double takenAt = NowMs();
   if (Trouble()) {
     store.Put("keyed.op", "config", Configuration(8, false));
+  }
+  // The store has acknowledged it by now.
+  const double takenAt = NowMs();
+  if (Trouble()) {
     record.Line("version 8 has no tenant any more; acknowledged at %.1f",
                 takenAt);
   }
@@ -127,6 +130,8 @@
   for (const auto& engine : engines) {
     for (const auto& run : engine->Runs()) {
       ran.insert(run.attemptId_);
+      record.Line("run %s at %s at %.1f", run.attemptId_.c_str(),
+                  run.engine_.c_str(), run.at_);
     }
   }
   int before = 0;
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -55,6 +55,8 @@
     const std::lock_guard lock(aFleet->mutex_);
     aFleet->arrivals_.push_back(NowMs());
     aRecord->Line("deadly request %s reaches engine %d", id.c_str(), aEngine);
+  } else {
+    aRecord->Line("sound request %s runs at engine %d", id.c_str(), aEngine);
   }
   SleepMs(20);
   if (!aLink->Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id +
