--- a/src/main/policy_reader.h
+++ b/src/main/policy_reader.h
@@ -2,7 +2,7 @@
 #define BURDOCKRING_MAIN_POLICY_READER_H
 
 #include "base/finding.h"
-#include "process/forwarding/policy.h"
+#include "process/placement/policy.h"
 
 #include <optional>
 #include <string>
--- a/src/process/forwarding/admission.cpp
+++ b/src/process/admission/admission.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/admission.h"
+#include "process/admission/admission.h"
 
 #include <array>
 #include <cstddef>
--- a/src/process/forwarding/overload_controller.cpp
+++ b/src/process/admission/overload_controller.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/overload_controller.h"
+#include "process/admission/overload_controller.h"
 
 #include <algorithm>
 
--- a/src/process/forwarding/overload_controller.h
+++ b/src/process/admission/overload_controller.h
@@ -1,8 +1,8 @@
-#ifndef BURDOCKRING_PROCESS_FORWARDING_OVERLOAD_CONTROLLER_H
-#define BURDOCKRING_PROCESS_FORWARDING_OVERLOAD_CONTROLLER_H
+#ifndef BURDOCKRING_PROCESS_ADMISSION_OVERLOAD_CONTROLLER_H
+#define BURDOCKRING_PROCESS_ADMISSION_OVERLOAD_CONTROLLER_H
 
 #include "base/time.h"
-#include "process/forwarding/policy.h"
+#include "process/placement/policy.h"
 
 #include <cstddef>
 #include <optional>
--- a/src/process/forwarding/retry_budget_share.cpp
+++ b/src/process/admission/retry_budget_share.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/retry_budget_share.h"
+#include "process/admission/retry_budget_share.h"
 
 #include <algorithm>
 
--- a/src/process/forwarding/discovery_sink.h
+++ b/src/process/forwarding/discovery_sink.h
@@ -3,10 +3,10 @@
 
 #include "base/time.h"
 #include "peer_types.h"
-#include "process/forwarding/read_scheduler.h"
-#include "process/forwarding/store_epoch_tracker.h"
-#include "process/forwarding/target_directory.h"
 #include "process/membership/peer_table.h"
+#include "process/peers/read_scheduler.h"
+#include "process/peers/store_epoch_tracker.h"
+#include "process/placement/target_directory.h"
 #include "version/route_table.h"
 
 #include <optional>
--- a/src/process/forwarding/forwarding_effects.h
+++ b/src/process/forwarding/forwarding_effects.h
@@ -4,7 +4,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "peer_types.h"
-#include "process/forwarding/read_scheduler.h"
+#include "process/peers/read_scheduler.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -1,6 +1,6 @@
 #include "process/forwarding/forwarding_node.h"
 
-#include "process/forwarding/part_ids.h"
+#include "process/quarantine/part_ids.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/forwarding/active_config.cpp
+++ b/src/process/peers/active_config.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/active_config.h"
+#include "process/peers/active_config.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/forwarding/peer_exchange.cpp
+++ b/src/process/peers/peer_exchange.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/peer_exchange.h"
+#include "process/peers/peer_exchange.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/forwarding/peer_exchange.h
+++ b/src/process/peers/peer_exchange.h
@@ -1,14 +1,14 @@
-#ifndef BURDOCKRING_PROCESS_FORWARDING_PEER_EXCHANGE_H
-#define BURDOCKRING_PROCESS_FORWARDING_PEER_EXCHANGE_H
+#ifndef BURDOCKRING_PROCESS_PEERS_PEER_EXCHANGE_H
+#define BURDOCKRING_PROCESS_PEERS_PEER_EXCHANGE_H
 
-#include "process/forwarding/active_config.h"
-#include "process/forwarding/dispatcher.h"
 #include "process/forwarding/event_log.h"
 #include "process/forwarding/forwarding_effects.h"
-#include "process/forwarding/part_quarantine.h"
-#include "process/forwarding/placement_wire.h"
-#include "process/forwarding/read_scheduler.h"
 #include "process/membership/peer_table.h"
+#include "process/peers/active_config.h"
+#include "process/peers/read_scheduler.h"
+#include "process/placement/dispatcher.h"
+#include "process/placement/placement_wire.h"
+#include "process/quarantine/part_quarantine.h"
 
 #include <map>
 #include <optional>
--- a/src/process/forwarding/store_epoch_tracker.cpp
+++ b/src/process/peers/store_epoch_tracker.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/store_epoch_tracker.h"
+#include "process/peers/store_epoch_tracker.h"
 
 namespace burdockring {
 
--- a/src/process/forwarding/dispatcher.cpp
+++ b/src/process/placement/dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/dispatcher.h"
+#include "process/placement/dispatcher.h"
 
 #include <algorithm>
 #include <array>
--- a/src/process/forwarding/dispatcher.h
+++ b/src/process/placement/dispatcher.h
@@ -1,12 +1,12 @@
-#ifndef BURDOCKRING_PROCESS_FORWARDING_DISPATCHER_H
-#define BURDOCKRING_PROCESS_FORWARDING_DISPATCHER_H
+#ifndef BURDOCKRING_PROCESS_PLACEMENT_DISPATCHER_H
+#define BURDOCKRING_PROCESS_PLACEMENT_DISPATCHER_H
 
-#include "process/forwarding/account_shares.h"
-#include "process/forwarding/part_ids.h"
-#include "process/forwarding/report_delta.h"
-#include "process/forwarding/target_directory.h"
-#include "process/forwarding/target_load.h"
-#include "process/forwarding/target_selector.h"
+#include "process/admission/account_shares.h"
+#include "process/placement/report_delta.h"
+#include "process/placement/target_directory.h"
+#include "process/placement/target_load.h"
+#include "process/placement/target_selector.h"
+#include "process/quarantine/part_ids.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/process/forwarding/placement_client.cpp
+++ b/src/process/placement/placement_client.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/placement_client.h"
+#include "process/placement/placement_client.h"
 
 #include <algorithm>
 #include <set>
--- a/src/process/forwarding/placement_client.h
+++ b/src/process/placement/placement_client.h
@@ -1,10 +1,10 @@
-#ifndef BURDOCKRING_PROCESS_FORWARDING_PLACEMENT_CLIENT_H
-#define BURDOCKRING_PROCESS_FORWARDING_PLACEMENT_CLIENT_H
+#ifndef BURDOCKRING_PROCESS_PLACEMENT_PLACEMENT_CLIENT_H
+#define BURDOCKRING_PROCESS_PLACEMENT_PLACEMENT_CLIENT_H
 
-#include "process/forwarding/dispatcher.h"
 #include "process/forwarding/event_log.h"
-#include "process/forwarding/placement_wire.h"
 #include "process/membership/peer_table.h"
+#include "process/placement/dispatcher.h"
+#include "process/placement/placement_wire.h"
 
 #include <cstdint>
 #include <map>
--- a/src/process/forwarding/placement_server.cpp
+++ b/src/process/placement/placement_server.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/placement_server.h"
+#include "process/placement/placement_server.h"
 
 #include <algorithm>
 #include <vector>
--- a/src/process/forwarding/placement_server.h
+++ b/src/process/placement/placement_server.h
@@ -1,8 +1,8 @@
-#ifndef BURDOCKRING_PROCESS_FORWARDING_PLACEMENT_SERVER_H
-#define BURDOCKRING_PROCESS_FORWARDING_PLACEMENT_SERVER_H
+#ifndef BURDOCKRING_PROCESS_PLACEMENT_PLACEMENT_SERVER_H
+#define BURDOCKRING_PROCESS_PLACEMENT_PLACEMENT_SERVER_H
 
-#include "process/forwarding/dispatcher.h"
-#include "process/forwarding/placement_wire.h"
+#include "process/placement/dispatcher.h"
+#include "process/placement/placement_wire.h"
 
 #include <cstdint>
 #include <map>
--- a/src/process/forwarding/placement_state_log.h
+++ b/src/process/placement/placement_state_log.h
@@ -1,8 +1,8 @@
-#ifndef BURDOCKRING_PROCESS_FORWARDING_PLACEMENT_STATE_LOG_H
-#define BURDOCKRING_PROCESS_FORWARDING_PLACEMENT_STATE_LOG_H
+#ifndef BURDOCKRING_PROCESS_PLACEMENT_PLACEMENT_STATE_LOG_H
+#define BURDOCKRING_PROCESS_PLACEMENT_PLACEMENT_STATE_LOG_H
 
-#include "process/forwarding/dispatcher.h"
 #include "process/forwarding/event_log.h"
+#include "process/placement/dispatcher.h"
 
 #include <cstdint>
 
--- a/src/process/forwarding/placement_wire.cpp
+++ b/src/process/placement/placement_wire.cpp
@@ -1,6 +1,6 @@
-#include "process/forwarding/placement_wire.h"
+#include "process/placement/placement_wire.h"
 
-#include "process/forwarding/part_ids.h"
+#include "process/quarantine/part_ids.h"
 
 #include <algorithm>
 
--- a/src/process/forwarding/placement_wire.h
+++ b/src/process/placement/placement_wire.h
@@ -1,8 +1,8 @@
-#ifndef BURDOCKRING_PROCESS_FORWARDING_PLACEMENT_WIRE_H
-#define BURDOCKRING_PROCESS_FORWARDING_PLACEMENT_WIRE_H
+#ifndef BURDOCKRING_PROCESS_PLACEMENT_PLACEMENT_WIRE_H
+#define BURDOCKRING_PROCESS_PLACEMENT_PLACEMENT_WIRE_H
 
 #include "peer_types.h"
-#include "process/forwarding/dispatcher.h"
+#include "process/placement/dispatcher.h"
 
 #include <cstdint>
 #include <map>
--- a/src/process/forwarding/policy.cpp
+++ b/src/process/placement/policy.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/policy.h"
+#include "process/placement/policy.h"
 
 #include <array>
 
--- a/src/process/forwarding/report_delta.cpp
+++ b/src/process/placement/report_delta.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/report_delta.h"
+#include "process/placement/report_delta.h"
 
 #include <cstdlib>
 #include <utility>
--- a/src/process/forwarding/target_directory.cpp
+++ b/src/process/placement/target_directory.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/target_directory.h"
+#include "process/placement/target_directory.h"
 
 #include <set>
 #include <utility>
--- a/src/process/forwarding/target_load.cpp
+++ b/src/process/placement/target_load.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/target_load.h"
+#include "process/placement/target_load.h"
 
 #include <algorithm>
 
--- a/src/process/forwarding/target_load.h
+++ b/src/process/placement/target_load.h
@@ -1,10 +1,10 @@
-#ifndef BURDOCKRING_PROCESS_FORWARDING_TARGET_LOAD_H
-#define BURDOCKRING_PROCESS_FORWARDING_TARGET_LOAD_H
+#ifndef BURDOCKRING_PROCESS_PLACEMENT_TARGET_LOAD_H
+#define BURDOCKRING_PROCESS_PLACEMENT_TARGET_LOAD_H
 
 #include "base/ids.h"
 #include "base/time.h"
 #include "peer_types.h"
-#include "process/forwarding/prefill_estimator.h"
+#include "process/placement/prefill_estimator.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/process/forwarding/target_selector.cpp
+++ b/src/process/placement/target_selector.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/target_selector.h"
+#include "process/placement/target_selector.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/forwarding/target_selector.h
+++ b/src/process/placement/target_selector.h
@@ -1,10 +1,10 @@
-#ifndef BURDOCKRING_PROCESS_FORWARDING_TARGET_SELECTOR_H
-#define BURDOCKRING_PROCESS_FORWARDING_TARGET_SELECTOR_H
+#ifndef BURDOCKRING_PROCESS_PLACEMENT_TARGET_SELECTOR_H
+#define BURDOCKRING_PROCESS_PLACEMENT_TARGET_SELECTOR_H
 
-#include "process/forwarding/policy.h"
-#include "process/forwarding/prefill_estimator.h"
-#include "process/forwarding/target_directory.h"
-#include "process/forwarding/target_load.h"
+#include "process/placement/policy.h"
+#include "process/placement/prefill_estimator.h"
+#include "process/placement/target_directory.h"
+#include "process/placement/target_load.h"
 #include "request/request_metadata.h"
 #include "version/route_table.h"
 
--- a/src/process/forwarding/crash_evidence.cpp
+++ b/src/process/quarantine/crash_evidence.cpp
@@ -1,6 +1,6 @@
-#include "process/forwarding/crash_evidence.h"
+#include "process/quarantine/crash_evidence.h"
 
-#include "process/forwarding/policy.h"
+#include "process/placement/policy.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/forwarding/crash_evidence.h
+++ b/src/process/quarantine/crash_evidence.h
@@ -1,9 +1,9 @@
-#ifndef BURDOCKRING_PROCESS_FORWARDING_CRASH_EVIDENCE_H
-#define BURDOCKRING_PROCESS_FORWARDING_CRASH_EVIDENCE_H
+#ifndef BURDOCKRING_PROCESS_QUARANTINE_CRASH_EVIDENCE_H
+#define BURDOCKRING_PROCESS_QUARANTINE_CRASH_EVIDENCE_H
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "process/forwarding/part_ids.h"
+#include "process/quarantine/part_ids.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/process/forwarding/part_ids.cpp
+++ b/src/process/quarantine/part_ids.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/part_ids.h"
+#include "process/quarantine/part_ids.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
--- a/src/process/forwarding/part_quarantine.cpp
+++ b/src/process/quarantine/part_quarantine.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/part_quarantine.h"
+#include "process/quarantine/part_quarantine.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/forwarding/part_quarantine.h
+++ b/src/process/quarantine/part_quarantine.h
@@ -1,12 +1,12 @@
-#ifndef BURDOCKRING_PROCESS_FORWARDING_PART_QUARANTINE_H
-#define BURDOCKRING_PROCESS_FORWARDING_PART_QUARANTINE_H
+#ifndef BURDOCKRING_PROCESS_QUARANTINE_PART_QUARANTINE_H
+#define BURDOCKRING_PROCESS_QUARANTINE_PART_QUARANTINE_H
 
 #include "base/ids.h"
 #include "base/time.h"
 #include "peer_types.h"
-#include "process/forwarding/crash_evidence.h"
 #include "process/forwarding/event_log.h"
-#include "process/forwarding/part_ids.h"
+#include "process/quarantine/crash_evidence.h"
+#include "process/quarantine/part_ids.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/tests/process/forwarding/account_shares_test.cpp
+++ b/tests/process/admission/account_shares_test.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/account_shares.h"
+#include "process/admission/account_shares.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/process/forwarding/saturated_pool_shares_test.cpp
+++ b/tests/process/admission/saturated_pool_shares_test.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/dispatcher.h"
+#include "process/placement/dispatcher.h"
 
 #include "support/forwarding_fixture.h"
 
--- a/tests/process/forwarding/read_scheduler_test.cpp
+++ b/tests/process/peers/read_scheduler_test.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/read_scheduler.h"
+#include "process/peers/read_scheduler.h"
 
 #include <gtest/gtest.h>
 #include <vector>
--- a/tests/process/forwarding/store_epoch_tracker_test.cpp
+++ b/tests/process/peers/store_epoch_tracker_test.cpp
@@ -1,6 +1,6 @@
-#include "process/forwarding/store_epoch_tracker.h"
+#include "process/peers/store_epoch_tracker.h"
 
-#include "process/forwarding/target_directory.h"
+#include "process/placement/target_directory.h"
 #include "support/forwarding_fixture.h"
 
 #include <gtest/gtest.h>
--- a/tests/process/forwarding/lead_placement_test.cpp
+++ b/tests/process/placement/lead_placement_test.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/placement_wire.h"
+#include "process/placement/placement_wire.h"
 #include "support/router_zone.h"
 
 #include <gtest/gtest.h>
--- a/tests/process/forwarding/placement_state_log_test.cpp
+++ b/tests/process/placement/placement_state_log_test.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/placement_state_log.h"
+#include "process/placement/placement_state_log.h"
 
 #include "support/forwarding_fixture.h"
 
--- a/tests/process/forwarding/prefill_estimator_test.cpp
+++ b/tests/process/placement/prefill_estimator_test.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/prefill_estimator.h"
+#include "process/placement/prefill_estimator.h"
 
 #include <gtest/gtest.h>
 #include <random>
--- a/tests/process/forwarding/report_delta_test.cpp
+++ b/tests/process/placement/report_delta_test.cpp
@@ -1,7 +1,7 @@
-#include "process/forwarding/report_delta.h"
+#include "process/placement/report_delta.h"
 
-#include "process/forwarding/account_shares.h"
-#include "process/forwarding/target_load.h"
+#include "process/admission/account_shares.h"
+#include "process/placement/target_load.h"
 
 #include <gtest/gtest.h>
 #include <map>
--- a/tests/process/forwarding/crash_evidence_test.cpp
+++ b/tests/process/quarantine/crash_evidence_test.cpp
@@ -1,4 +1,4 @@
-#include "process/forwarding/crash_evidence.h"
+#include "process/quarantine/crash_evidence.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/support/forwarding_fixture.h
+++ b/tests/support/forwarding_fixture.h
@@ -1,9 +1,9 @@
 #ifndef BURDOCKRING_TESTS_SUPPORT_FORWARDING_FIXTURE_H
 #define BURDOCKRING_TESTS_SUPPORT_FORWARDING_FIXTURE_H
 
-#include "process/forwarding/dispatcher.h"
 #include "process/forwarding/event_log.h"
 #include "process/forwarding/forwarding_node.h"
+#include "process/placement/dispatcher.h"
 
 #include <gmock/gmock.h>
 #include <string>
