Seeded runs take the same course on x86-64 and arm64

The runs are in virtual time with fixed seeds, but the test traffic drew random numbers in the arguments of one call. Compilers evaluate these in any order: g++ 12 calls the draws in the order 2, 3, 1 for x86-64 and 1, 2, 3 for arm64 (seen in the assembly of both).

--- a/tests/process/quarantine/deadly_prompt_part_test.cpp
+++ b/tests/process/quarantine/deadly_prompt_part_test.cpp
@@ -5,6 +5,7 @@
 #include <ostream>
 #include <string>
 #include <tuple>
+#include <utility>
 
 namespace burdockring {
 namespace {
@@ -54,23 +55,62 @@
     deadlyParts_ = std::move(aParts);
   }
 
+  /// A request before it is sent to a router.
+  struct Arrival
+  {
+    std::size_t router_ = 0;
+    std::vector<PromptPart> parts_;
+  };
+
+  /// The next request of the sequence, which the seed determines. Each draw is
+  /// a statement of its own, as compilers evaluate arguments in any order.
+  auto Next() -> Arrival
+  {
+    const bool deadly =
+      std::uniform_real_distribution<double>(0, 1)(random_) < deadlyShare_;
+    const auto middle = deadly ? deadlyParts_[Draw(deadlyParts_.size())]
+                               : kMiddleParts + Draw(10);
+    const auto router = Draw(static_cast<std::uint64_t>(routers_));
+    const auto first = kFirstParts + Draw(3);
+    const auto session = kSessionParts + Draw(40);
+    return { router,
+             { { first, 100 },
+               { middle, 100 },
+               { session, 100 },
+               { kOwnParts + ++count_, 200 } } };
+  }
+
   auto Run(Duration aTime) -> void
   {
     for (const auto end = zone_->Now() + aTime; zone_->Now() < end;) {
-      const bool deadly =
-        std::uniform_real_distribution<double>(0, 1)(random_) < deadlyShare_;
-      const auto middle = deadly ? deadlyParts_[Draw(deadlyParts_.size())]
-                                 : kMiddleParts + Draw(10);
-      zone_->Arrive(Draw(static_cast<std::uint64_t>(routers_)), 500,
-                    { { kFirstParts + Draw(3), 100 },
-                      { middle, 100 },
-                      { kSessionParts + Draw(40), 100 },
-                      { kOwnParts + ++count_, 200 } });
+      auto next = Next();
+      zone_->Arrive(next.router_, 500, std::move(next.parts_));
       zone_->Run(kGap);
     }
   }
 };
 
+// Seeded runs took another course on arm64 than on x86-64, as the draws were
+// arguments of one call.
+TEST(PartTrafficTest, SeedDeterminesTheSequenceOnEachMachine)
+{
+  PartTraffic traffic(nullptr, 16, 1);
+  traffic.SetDeadlyShare(0.5);
+  std::vector<std::vector<std::uint64_t>> drawn;
+  for (int i = 0; i < 4; ++i) {
+    const auto next = traffic.Next();
+    drawn.push_back({ next.router_, next.parts_[0].id_, next.parts_[1].id_,
+                      next.parts_[2].id_ });
+  }
+  const std::vector<std::vector<std::uint64_t>> expected{
+    { 14, 0x100, 0x207, 0x305 },
+    { 3, 0x100, 0x201, 0x30f },
+    { 10, 0x101, 0xdead, 0x325 },
+    { 5, 0x102, 0x204, 0x314 },
+  };
+  EXPECT_EQ(drawn, expected);
+}
+
 /// Requests with the part that reached an engine after aFrom.
 auto DeadlySentAfter(const RouterZone& aZone,
                      std::uint64_t aPart,
