--- a/src/wire/gen/peer_types.cpp
+++ b/src/wire/gen/peer_types.cpp
@@ -3572,6 +3572,270 @@
 }
 
 
+ZoneDrainRow::~ZoneDrainRow() noexcept {
+}
+
+
+void ZoneDrainRow::__set_zone(const int32_t val) {
+  this->zone = val;
+}
+
+void ZoneDrainRow::__set_name(const std::string& val) {
+  this->name = val;
+}
+std::ostream& operator<<(std::ostream& out, const ZoneDrainRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ZoneDrainRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ZoneDrainRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ZoneDrainRow");
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ZoneDrainRow &a, ZoneDrainRow &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.name, b.name);
+  swap(a.__isset, b.__isset);
+}
+
+ZoneDrainRow::ZoneDrainRow(const ZoneDrainRow& other114) {
+  zone = other114.zone;
+  name = other114.name;
+  __isset = other114.__isset;
+}
+ZoneDrainRow& ZoneDrainRow::operator=(const ZoneDrainRow& other115) {
+  zone = other115.zone;
+  name = other115.name;
+  __isset = other115.__isset;
+  return *this;
+}
+void ZoneDrainRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ZoneDrainRow(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "name=" << to_string(name);
+  out << ")";
+}
+
+
+ZoneDrainList::~ZoneDrainList() noexcept {
+}
+
+
+void ZoneDrainList::__set_storeEpoch(const int64_t val) {
+  this->storeEpoch = val;
+}
+
+void ZoneDrainList::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void ZoneDrainList::__set_zones(const std::vector<ZoneDrainRow> & val) {
+  this->zones = val;
+}
+std::ostream& operator<<(std::ostream& out, const ZoneDrainList& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ZoneDrainList::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeEpoch);
+          this->__isset.storeEpoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->zones.clear();
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->zones.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
+            {
+              xfer += this->zones[_i120].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.zones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ZoneDrainList::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ZoneDrainList");
+
+  xfer += oprot->writeFieldBegin("storeEpoch", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->storeEpoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->zones.size()));
+    std::vector<ZoneDrainRow> ::const_iterator _iter121;
+    for (_iter121 = this->zones.begin(); _iter121 != this->zones.end(); ++_iter121)
+    {
+      xfer += (*_iter121).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ZoneDrainList &a, ZoneDrainList &b) {
+  using ::std::swap;
+  swap(a.storeEpoch, b.storeEpoch);
+  swap(a.offset, b.offset);
+  swap(a.zones, b.zones);
+  swap(a.__isset, b.__isset);
+}
+
+ZoneDrainList::ZoneDrainList(const ZoneDrainList& other122) {
+  storeEpoch = other122.storeEpoch;
+  offset = other122.offset;
+  zones = other122.zones;
+  __isset = other122.__isset;
+}
+ZoneDrainList& ZoneDrainList::operator=(const ZoneDrainList& other123) {
+  storeEpoch = other123.storeEpoch;
+  offset = other123.offset;
+  zones = other123.zones;
+  __isset = other123.__isset;
+  return *this;
+}
+void ZoneDrainList::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ZoneDrainList(";
+  out << "storeEpoch=" << to_string(storeEpoch);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "zones=" << to_string(zones);
+  out << ")";
+}
+
+
 LoadReport::~LoadReport() noexcept {
 }
 
@@ -3628,6 +3892,11 @@
   this->crashes = val;
 __isset.crashes = true;
 }
+
+void LoadReport::__set_drains(const ZoneDrainList& val) {
+  this->drains = val;
+__isset.drains = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
 {
   obj.printTo(out);
@@ -3660,14 +3929,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->targets.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->targets.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += this->targets[_i118].read(iprot);
+              xfer += this->targets[_i128].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3680,14 +3949,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accounts.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _etype122;
-            xfer += iprot->readListBegin(_etype122, _size119);
-            this->accounts.resize(_size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->accounts.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += this->accounts[_i123].read(iprot);
+              xfer += this->accounts[_i133].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3740,14 +4009,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reads.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->reads.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->reads.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->reads[_i128].read(iprot);
+              xfer += this->reads[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3768,14 +4037,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->leaving.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->leaving.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              xfer += iprot->readI32(this->leaving[_i133]);
+              xfer += iprot->readI32(this->leaving[_i143]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3788,14 +4057,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gone.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->gone.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->gone.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += iprot->readI32(this->gone[_i138]);
+              xfer += iprot->readI32(this->gone[_i148]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3820,6 +4089,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->drains.read(iprot);
+          this->__isset.drains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3840,10 +4117,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<TargetUse> ::const_iterator _iter139;
-    for (_iter139 = this->targets.begin(); _iter139 != this->targets.end(); ++_iter139)
+    std::vector<TargetUse> ::const_iterator _iter149;
+    for (_iter149 = this->targets.begin(); _iter149 != this->targets.end(); ++_iter149)
     {
-      xfer += (*_iter139).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3852,10 +4129,10 @@
   xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<AccountUse> ::const_iterator _iter140;
-    for (_iter140 = this->accounts.begin(); _iter140 != this->accounts.end(); ++_iter140)
+    std::vector<AccountUse> ::const_iterator _iter150;
+    for (_iter150 = this->accounts.begin(); _iter150 != this->accounts.end(); ++_iter150)
     {
-      xfer += (*_iter140).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3884,10 +4161,10 @@
   xfer += oprot->writeFieldBegin("reads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reads.size()));
-    std::vector<PartRead> ::const_iterator _iter141;
-    for (_iter141 = this->reads.begin(); _iter141 != this->reads.end(); ++_iter141)
+    std::vector<PartRead> ::const_iterator _iter151;
+    for (_iter151 = this->reads.begin(); _iter151 != this->reads.end(); ++_iter151)
     {
-      xfer += (*_iter141).write(oprot);
+      xfer += (*_iter151).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3900,10 +4177,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<int32_t> ::const_iterator _iter142;
-    for (_iter142 = this->leaving.begin(); _iter142 != this->leaving.end(); ++_iter142)
+    std::vector<int32_t> ::const_iterator _iter152;
+    for (_iter152 = this->leaving.begin(); _iter152 != this->leaving.end(); ++_iter152)
     {
-      xfer += oprot->writeI32((*_iter142));
+      xfer += oprot->writeI32((*_iter152));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3912,10 +4189,10 @@
   xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->gone.size()));
-    std::vector<int32_t> ::const_iterator _iter143;
-    for (_iter143 = this->gone.begin(); _iter143 != this->gone.end(); ++_iter143)
+    std::vector<int32_t> ::const_iterator _iter153;
+    for (_iter153 = this->gone.begin(); _iter153 != this->gone.end(); ++_iter153)
     {
-      xfer += oprot->writeI32((*_iter143));
+      xfer += oprot->writeI32((*_iter153));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3930,6 +4207,11 @@
     xfer += this->crashes.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.drains) {
+    xfer += oprot->writeFieldBegin("drains", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->drains.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3950,40 +4232,43 @@
   swap(a.gone, b.gone);
   swap(a.echoIncarnation, b.echoIncarnation);
   swap(a.crashes, b.crashes);
+  swap(a.drains, b.drains);
   swap(a.__isset, b.__isset);
 }
 
-LoadReport::LoadReport(const LoadReport& other144) {
-  targets = other144.targets;
-  accounts = other144.accounts;
-  configVersion = other144.configVersion;
-  configAgeMicros = other144.configAgeMicros;
-  stampMicros = other144.stampMicros;
-  echoMicros = other144.echoMicros;
-  pressed = other144.pressed;
-  reads = other144.reads;
-  partial = other144.partial;
-  leaving = other144.leaving;
-  gone = other144.gone;
-  echoIncarnation = other144.echoIncarnation;
-  crashes = other144.crashes;
-  __isset = other144.__isset;
-}
-LoadReport& LoadReport::operator=(const LoadReport& other145) {
-  targets = other145.targets;
-  accounts = other145.accounts;
-  configVersion = other145.configVersion;
-  configAgeMicros = other145.configAgeMicros;
-  stampMicros = other145.stampMicros;
-  echoMicros = other145.echoMicros;
-  pressed = other145.pressed;
-  reads = other145.reads;
-  partial = other145.partial;
-  leaving = other145.leaving;
-  gone = other145.gone;
-  echoIncarnation = other145.echoIncarnation;
-  crashes = other145.crashes;
-  __isset = other145.__isset;
+LoadReport::LoadReport(const LoadReport& other154) {
+  targets = other154.targets;
+  accounts = other154.accounts;
+  configVersion = other154.configVersion;
+  configAgeMicros = other154.configAgeMicros;
+  stampMicros = other154.stampMicros;
+  echoMicros = other154.echoMicros;
+  pressed = other154.pressed;
+  reads = other154.reads;
+  partial = other154.partial;
+  leaving = other154.leaving;
+  gone = other154.gone;
+  echoIncarnation = other154.echoIncarnation;
+  crashes = other154.crashes;
+  drains = other154.drains;
+  __isset = other154.__isset;
+}
+LoadReport& LoadReport::operator=(const LoadReport& other155) {
+  targets = other155.targets;
+  accounts = other155.accounts;
+  configVersion = other155.configVersion;
+  configAgeMicros = other155.configAgeMicros;
+  stampMicros = other155.stampMicros;
+  echoMicros = other155.echoMicros;
+  pressed = other155.pressed;
+  reads = other155.reads;
+  partial = other155.partial;
+  leaving = other155.leaving;
+  gone = other155.gone;
+  echoIncarnation = other155.echoIncarnation;
+  crashes = other155.crashes;
+  drains = other155.drains;
+  __isset = other155.__isset;
   return *this;
 }
 void LoadReport::printTo(std::ostream& out) const {
@@ -4002,6 +4287,7 @@
   out << ", " << "gone=" << to_string(gone);
   out << ", " << "echoIncarnation=" << to_string(echoIncarnation);
   out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
+  out << ", " << "drains="; (__isset.drains ? (out << to_string(drains)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4057,6 +4343,11 @@
 void PlaceAsk::__set_tried(const std::vector<int32_t> & val) {
   this->tried = val;
 }
+
+void PlaceAsk::__set_maxGapMicros(const int64_t val) {
+  this->maxGapMicros = val;
+__isset.maxGapMicros = true;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj)
 {
   obj.printTo(out);
@@ -4169,14 +4460,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->partTokens.clear();
-            uint32_t _size146;
-            ::apache::thrift::protocol::TType _etype149;
-            xfer += iprot->readListBegin(_etype149, _size146);
-            this->partTokens.resize(_size146);
-            uint32_t _i150;
-            for (_i150 = 0; _i150 < _size146; ++_i150)
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _etype159;
+            xfer += iprot->readListBegin(_etype159, _size156);
+            this->partTokens.resize(_size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
             {
-              xfer += iprot->readI32(this->partTokens[_i150]);
+              xfer += iprot->readI32(this->partTokens[_i160]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4189,14 +4480,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tried.clear();
-            uint32_t _size151;
-            ::apache::thrift::protocol::TType _etype154;
-            xfer += iprot->readListBegin(_etype154, _size151);
-            this->tried.resize(_size151);
-            uint32_t _i155;
-            for (_i155 = 0; _i155 < _size151; ++_i155)
+            uint32_t _size161;
+            ::apache::thrift::protocol::TType _etype164;
+            xfer += iprot->readListBegin(_etype164, _size161);
+            this->tried.resize(_size161);
+            uint32_t _i165;
+            for (_i165 = 0; _i165 < _size161; ++_i165)
             {
-              xfer += iprot->readI32(this->tried[_i155]);
+              xfer += iprot->readI32(this->tried[_i165]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4205,6 +4496,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->maxGapMicros);
+          this->__isset.maxGapMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4265,10 +4564,10 @@
   xfer += oprot->writeFieldBegin("partTokens", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->partTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter156;
-    for (_iter156 = this->partTokens.begin(); _iter156 != this->partTokens.end(); ++_iter156)
+    std::vector<int32_t> ::const_iterator _iter166;
+    for (_iter166 = this->partTokens.begin(); _iter166 != this->partTokens.end(); ++_iter166)
     {
-      xfer += oprot->writeI32((*_iter156));
+      xfer += oprot->writeI32((*_iter166));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4277,15 +4576,20 @@
   xfer += oprot->writeFieldBegin("tried", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->tried.size()));
-    std::vector<int32_t> ::const_iterator _iter157;
-    for (_iter157 = this->tried.begin(); _iter157 != this->tried.end(); ++_iter157)
+    std::vector<int32_t> ::const_iterator _iter167;
+    for (_iter167 = this->tried.begin(); _iter167 != this->tried.end(); ++_iter167)
     {
-      xfer += oprot->writeI32((*_iter157));
+      xfer += oprot->writeI32((*_iter167));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.maxGapMicros) {
+    xfer += oprot->writeFieldBegin("maxGapMicros", ::apache::thrift::protocol::T_I64, 13);
+    xfer += oprot->writeI64(this->maxGapMicros);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4305,38 +4609,41 @@
   swap(a.parts, b.parts);
   swap(a.partTokens, b.partTokens);
   swap(a.tried, b.tried);
+  swap(a.maxGapMicros, b.maxGapMicros);
   swap(a.__isset, b.__isset);
 }
 
-PlaceAsk::PlaceAsk(const PlaceAsk& other158) {
-  request = other158.request;
-  serviceId = other158.serviceId;
-  account = other158.account;
-  aimMicros = other158.aimMicros;
-  waitedMicros = other158.waitedMicros;
-  patienceMicros = other158.patienceMicros;
-  goesOn = other158.goesOn;
-  promptTokens = other158.promptTokens;
-  outputTokens = other158.outputTokens;
-  parts = other158.parts;
-  partTokens = other158.partTokens;
-  tried = other158.tried;
-  __isset = other158.__isset;
-}
-PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other159) {
-  request = other159.request;
-  serviceId = other159.serviceId;
-  account = other159.account;
-  aimMicros = other159.aimMicros;
-  waitedMicros = other159.waitedMicros;
-  patienceMicros = other159.patienceMicros;
-  goesOn = other159.goesOn;
-  promptTokens = other159.promptTokens;
-  outputTokens = other159.outputTokens;
-  parts = other159.parts;
-  partTokens = other159.partTokens;
-  tried = other159.tried;
-  __isset = other159.__isset;
+PlaceAsk::PlaceAsk(const PlaceAsk& other168) {
+  request = other168.request;
+  serviceId = other168.serviceId;
+  account = other168.account;
+  aimMicros = other168.aimMicros;
+  waitedMicros = other168.waitedMicros;
+  patienceMicros = other168.patienceMicros;
+  goesOn = other168.goesOn;
+  promptTokens = other168.promptTokens;
+  outputTokens = other168.outputTokens;
+  parts = other168.parts;
+  partTokens = other168.partTokens;
+  tried = other168.tried;
+  maxGapMicros = other168.maxGapMicros;
+  __isset = other168.__isset;
+}
+PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other169) {
+  request = other169.request;
+  serviceId = other169.serviceId;
+  account = other169.account;
+  aimMicros = other169.aimMicros;
+  waitedMicros = other169.waitedMicros;
+  patienceMicros = other169.patienceMicros;
+  goesOn = other169.goesOn;
+  promptTokens = other169.promptTokens;
+  outputTokens = other169.outputTokens;
+  parts = other169.parts;
+  partTokens = other169.partTokens;
+  tried = other169.tried;
+  maxGapMicros = other169.maxGapMicros;
+  __isset = other169.__isset;
   return *this;
 }
 void PlaceAsk::printTo(std::ostream& out) const {
@@ -4354,6 +4661,7 @@
   out << ", " << "parts=" << to_string(parts);
   out << ", " << "partTokens=" << to_string(partTokens);
   out << ", " << "tried=" << to_string(tried);
+  out << ", " << "maxGapMicros="; (__isset.maxGapMicros ? (out << to_string(maxGapMicros)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4586,31 +4894,31 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAnswer::PlaceAnswer(const PlaceAnswer& other160) noexcept {
-  request = other160.request;
-  outcome = other160.outcome;
-  target = other160.target;
-  copyFrom = other160.copyFrom;
-  expectedWaitMicros = other160.expectedWaitMicros;
-  reason = other160.reason;
-  retryAfterMicros = other160.retryAfterMicros;
-  prefillTokens = other160.prefillTokens;
-  memoryTokens = other160.memoryTokens;
-  standing = other160.standing;
-  __isset = other160.__isset;
-}
-PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other161) noexcept {
-  request = other161.request;
-  outcome = other161.outcome;
-  target = other161.target;
-  copyFrom = other161.copyFrom;
-  expectedWaitMicros = other161.expectedWaitMicros;
-  reason = other161.reason;
-  retryAfterMicros = other161.retryAfterMicros;
-  prefillTokens = other161.prefillTokens;
-  memoryTokens = other161.memoryTokens;
-  standing = other161.standing;
-  __isset = other161.__isset;
+PlaceAnswer::PlaceAnswer(const PlaceAnswer& other170) noexcept {
+  request = other170.request;
+  outcome = other170.outcome;
+  target = other170.target;
+  copyFrom = other170.copyFrom;
+  expectedWaitMicros = other170.expectedWaitMicros;
+  reason = other170.reason;
+  retryAfterMicros = other170.retryAfterMicros;
+  prefillTokens = other170.prefillTokens;
+  memoryTokens = other170.memoryTokens;
+  standing = other170.standing;
+  __isset = other170.__isset;
+}
+PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other171) noexcept {
+  request = other171.request;
+  outcome = other171.outcome;
+  target = other171.target;
+  copyFrom = other171.copyFrom;
+  expectedWaitMicros = other171.expectedWaitMicros;
+  reason = other171.reason;
+  retryAfterMicros = other171.retryAfterMicros;
+  prefillTokens = other171.prefillTokens;
+  memoryTokens = other171.memoryTokens;
+  standing = other171.standing;
+  __isset = other171.__isset;
   return *this;
 }
 void PlaceAnswer::printTo(std::ostream& out) const {
@@ -4630,6 +4938,160 @@
 }
 
 
+ReportedTargetLoad::~ReportedTargetLoad() noexcept {
+}
+
+
+void ReportedTargetLoad::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void ReportedTargetLoad::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void ReportedTargetLoad::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void ReportedTargetLoad::__set_slownessPercent(const int32_t val) {
+  this->slownessPercent = val;
+__isset.slownessPercent = true;
+}
+std::ostream& operator<<(std::ostream& out, const ReportedTargetLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReportedTargetLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slownessPercent);
+          this->__isset.slownessPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReportedTargetLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReportedTargetLoad");
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.slownessPercent) {
+    xfer += oprot->writeFieldBegin("slownessPercent", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->slownessPercent);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReportedTargetLoad &a, ReportedTargetLoad &b) {
+  using ::std::swap;
+  swap(a.running, b.running);
+  swap(a.waiting, b.waiting);
+  swap(a.slots, b.slots);
+  swap(a.slownessPercent, b.slownessPercent);
+  swap(a.__isset, b.__isset);
+}
+
+ReportedTargetLoad::ReportedTargetLoad(const ReportedTargetLoad& other172) noexcept {
+  running = other172.running;
+  waiting = other172.waiting;
+  slots = other172.slots;
+  slownessPercent = other172.slownessPercent;
+  __isset = other172.__isset;
+}
+ReportedTargetLoad& ReportedTargetLoad::operator=(const ReportedTargetLoad& other173) noexcept {
+  running = other173.running;
+  waiting = other173.waiting;
+  slots = other173.slots;
+  slownessPercent = other173.slownessPercent;
+  __isset = other173.__isset;
+  return *this;
+}
+void ReportedTargetLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReportedTargetLoad(";
+  out << "running=" << to_string(running);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "slownessPercent="; (__isset.slownessPercent ? (out << to_string(slownessPercent)) : (out << "<null>"));
+  out << ")";
+}
+
+
 RunNote::~RunNote() noexcept {
 }
 
@@ -4645,6 +5107,16 @@
 void RunNote::__set_restMicros(const int64_t val) {
   this->restMicros = val;
 }
+
+void RunNote::__set_load(const ReportedTargetLoad& val) {
+  this->load = val;
+__isset.load = true;
+}
+
+void RunNote::__set_mayHaveRestarted(const bool val) {
+  this->mayHaveRestarted = val;
+__isset.mayHaveRestarted = true;
+}
 std::ostream& operator<<(std::ostream& out, const RunNote& obj)
 {
   obj.printTo(out);
@@ -4697,6 +5169,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->load.read(iprot);
+          this->__isset.load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->mayHaveRestarted);
+          this->__isset.mayHaveRestarted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4726,6 +5214,16 @@
   xfer += oprot->writeI64(this->restMicros);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.load) {
+    xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->load.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.mayHaveRestarted) {
+    xfer += oprot->writeFieldBegin("mayHaveRestarted", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->mayHaveRestarted);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4736,20 +5234,26 @@
   swap(a.request, b.request);
   swap(a.event, b.event);
   swap(a.restMicros, b.restMicros);
+  swap(a.load, b.load);
+  swap(a.mayHaveRestarted, b.mayHaveRestarted);
   swap(a.__isset, b.__isset);
 }
 
-RunNote::RunNote(const RunNote& other162) noexcept {
-  request = other162.request;
-  event = other162.event;
-  restMicros = other162.restMicros;
-  __isset = other162.__isset;
-}
-RunNote& RunNote::operator=(const RunNote& other163) noexcept {
-  request = other163.request;
-  event = other163.event;
-  restMicros = other163.restMicros;
-  __isset = other163.__isset;
+RunNote::RunNote(const RunNote& other174) noexcept {
+  request = other174.request;
+  event = other174.event;
+  restMicros = other174.restMicros;
+  load = other174.load;
+  mayHaveRestarted = other174.mayHaveRestarted;
+  __isset = other174.__isset;
+}
+RunNote& RunNote::operator=(const RunNote& other175) noexcept {
+  request = other175.request;
+  event = other175.event;
+  restMicros = other175.restMicros;
+  load = other175.load;
+  mayHaveRestarted = other175.mayHaveRestarted;
+  __isset = other175.__isset;
   return *this;
 }
 void RunNote::printTo(std::ostream& out) const {
@@ -4758,6 +5262,8 @@
   out << "request=" << to_string(request);
   out << ", " << "event=" << to_string(event);
   out << ", " << "restMicros=" << to_string(restMicros);
+  out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
+  out << ", " << "mayHaveRestarted="; (__isset.mayHaveRestarted ? (out << to_string(mayHaveRestarted)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4905,21 +5411,21 @@
   swap(a.__isset, b.__isset);
 }
 
-RunRow::RunRow(const RunRow& other164) noexcept {
-  request = other164.request;
-  target = other164.target;
-  prefillTokens = other164.prefillTokens;
-  memoryTokens = other164.memoryTokens;
-  begun = other164.begun;
-  __isset = other164.__isset;
-}
-RunRow& RunRow::operator=(const RunRow& other165) noexcept {
-  request = other165.request;
-  target = other165.target;
-  prefillTokens = other165.prefillTokens;
-  memoryTokens = other165.memoryTokens;
-  begun = other165.begun;
-  __isset = other165.__isset;
+RunRow::RunRow(const RunRow& other176) noexcept {
+  request = other176.request;
+  target = other176.target;
+  prefillTokens = other176.prefillTokens;
+  memoryTokens = other176.memoryTokens;
+  begun = other176.begun;
+  __isset = other176.__isset;
+}
+RunRow& RunRow::operator=(const RunRow& other177) noexcept {
+  request = other177.request;
+  target = other177.target;
+  prefillTokens = other177.prefillTokens;
+  memoryTokens = other177.memoryTokens;
+  begun = other177.begun;
+  __isset = other177.__isset;
   return *this;
 }
 void RunRow::printTo(std::ostream& out) const {
@@ -4989,14 +5495,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->asks.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->asks.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->asks[_i170].read(iprot);
+              xfer += this->asks[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5009,14 +5515,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size171;
-            ::apache::thrift::protocol::TType _etype174;
-            xfer += iprot->readListBegin(_etype174, _size171);
-            this->answers.resize(_size171);
-            uint32_t _i175;
-            for (_i175 = 0; _i175 < _size171; ++_i175)
+            uint32_t _size183;
+            ::apache::thrift::protocol::TType _etype186;
+            xfer += iprot->readListBegin(_etype186, _size183);
+            this->answers.resize(_size183);
+            uint32_t _i187;
+            for (_i187 = 0; _i187 < _size183; ++_i187)
             {
-              xfer += this->answers[_i175].read(iprot);
+              xfer += this->answers[_i187].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5029,14 +5535,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->notes.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->notes.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->notes.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
             {
-              xfer += this->notes[_i180].read(iprot);
+              xfer += this->notes[_i192].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5057,14 +5563,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size181;
-            ::apache::thrift::protocol::TType _etype184;
-            xfer += iprot->readListBegin(_etype184, _size181);
-            this->runs.resize(_size181);
-            uint32_t _i185;
-            for (_i185 = 0; _i185 < _size181; ++_i185)
+            uint32_t _size193;
+            ::apache::thrift::protocol::TType _etype196;
+            xfer += iprot->readListBegin(_etype196, _size193);
+            this->runs.resize(_size193);
+            uint32_t _i197;
+            for (_i197 = 0; _i197 < _size193; ++_i197)
             {
-              xfer += this->runs[_i185].read(iprot);
+              xfer += this->runs[_i197].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5093,10 +5599,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<PlaceAsk> ::const_iterator _iter186;
-    for (_iter186 = this->asks.begin(); _iter186 != this->asks.end(); ++_iter186)
+    std::vector<PlaceAsk> ::const_iterator _iter198;
+    for (_iter198 = this->asks.begin(); _iter198 != this->asks.end(); ++_iter198)
     {
-      xfer += (*_iter186).write(oprot);
+      xfer += (*_iter198).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5105,10 +5611,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<PlaceAnswer> ::const_iterator _iter187;
-    for (_iter187 = this->answers.begin(); _iter187 != this->answers.end(); ++_iter187)
+    std::vector<PlaceAnswer> ::const_iterator _iter199;
+    for (_iter199 = this->answers.begin(); _iter199 != this->answers.end(); ++_iter199)
     {
-      xfer += (*_iter187).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5117,10 +5623,10 @@
   xfer += oprot->writeFieldBegin("notes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notes.size()));
-    std::vector<RunNote> ::const_iterator _iter188;
-    for (_iter188 = this->notes.begin(); _iter188 != this->notes.end(); ++_iter188)
+    std::vector<RunNote> ::const_iterator _iter200;
+    for (_iter200 = this->notes.begin(); _iter200 != this->notes.end(); ++_iter200)
     {
-      xfer += (*_iter188).write(oprot);
+      xfer += (*_iter200).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5133,10 +5639,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<RunRow> ::const_iterator _iter189;
-    for (_iter189 = this->runs.begin(); _iter189 != this->runs.end(); ++_iter189)
+    std::vector<RunRow> ::const_iterator _iter201;
+    for (_iter201 = this->runs.begin(); _iter201 != this->runs.end(); ++_iter201)
     {
-      xfer += (*_iter189).write(oprot);
+      xfer += (*_iter201).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5157,21 +5663,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Placement::Placement(const Placement& other190) {
-  asks = other190.asks;
-  answers = other190.answers;
-  notes = other190.notes;
-  whole = other190.whole;
-  runs = other190.runs;
-  __isset = other190.__isset;
-}
-Placement& Placement::operator=(const Placement& other191) {
-  asks = other191.asks;
-  answers = other191.answers;
-  notes = other191.notes;
-  whole = other191.whole;
-  runs = other191.runs;
-  __isset = other191.__isset;
+Placement::Placement(const Placement& other202) {
+  asks = other202.asks;
+  answers = other202.answers;
+  notes = other202.notes;
+  whole = other202.whole;
+  runs = other202.runs;
+  __isset = other202.__isset;
+}
+Placement& Placement::operator=(const Placement& other203) {
+  asks = other203.asks;
+  answers = other203.answers;
+  notes = other203.notes;
+  whole = other203.whole;
+  runs = other203.runs;
+  __isset = other203.__isset;
   return *this;
 }
 void Placement::printTo(std::ostream& out) const {
@@ -5348,23 +5854,23 @@
   swap(a.__isset, b.__isset);
 }
 
-ListNews::ListNews(const ListNews& other192) {
-  sharedList = other192.sharedList;
-  fromOffset = other192.fromOffset;
-  toOffset = other192.toOffset;
-  reachable = other192.reachable;
-  batch = other192.batch;
-  storeEpoch = other192.storeEpoch;
-  __isset = other192.__isset;
-}
-ListNews& ListNews::operator=(const ListNews& other193) {
-  sharedList = other193.sharedList;
-  fromOffset = other193.fromOffset;
-  toOffset = other193.toOffset;
-  reachable = other193.reachable;
-  batch = other193.batch;
-  storeEpoch = other193.storeEpoch;
-  __isset = other193.__isset;
+ListNews::ListNews(const ListNews& other204) {
+  sharedList = other204.sharedList;
+  fromOffset = other204.fromOffset;
+  toOffset = other204.toOffset;
+  reachable = other204.reachable;
+  batch = other204.batch;
+  storeEpoch = other204.storeEpoch;
+  __isset = other204.__isset;
+}
+ListNews& ListNews::operator=(const ListNews& other205) {
+  sharedList = other205.sharedList;
+  fromOffset = other205.fromOffset;
+  toOffset = other205.toOffset;
+  reachable = other205.reachable;
+  batch = other205.batch;
+  storeEpoch = other205.storeEpoch;
+  __isset = other205.__isset;
   return *this;
 }
 void ListNews::printTo(std::ostream& out) const {
@@ -5435,14 +5941,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size194;
-            ::apache::thrift::protocol::TType _etype197;
-            xfer += iprot->readListBegin(_etype197, _size194);
-            this->waiting.resize(_size194);
-            uint32_t _i198;
-            for (_i198 = 0; _i198 < _size194; ++_i198)
+            uint32_t _size206;
+            ::apache::thrift::protocol::TType _etype209;
+            xfer += iprot->readListBegin(_etype209, _size206);
+            this->waiting.resize(_size206);
+            uint32_t _i210;
+            for (_i210 = 0; _i210 < _size206; ++_i210)
             {
-              xfer += iprot->readI32(this->waiting[_i198]);
+              xfer += iprot->readI32(this->waiting[_i210]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5455,14 +5961,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->charged.clear();
-            uint32_t _size199;
-            ::apache::thrift::protocol::TType _etype202;
-            xfer += iprot->readListBegin(_etype202, _size199);
-            this->charged.resize(_size199);
-            uint32_t _i203;
-            for (_i203 = 0; _i203 < _size199; ++_i203)
+            uint32_t _size211;
+            ::apache::thrift::protocol::TType _etype214;
+            xfer += iprot->readListBegin(_etype214, _size211);
+            this->charged.resize(_size211);
+            uint32_t _i215;
+            for (_i215 = 0; _i215 < _size211; ++_i215)
             {
-              xfer += iprot->readI64(this->charged[_i203]);
+              xfer += iprot->readI64(this->charged[_i215]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5495,10 +6001,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<int32_t> ::const_iterator _iter204;
-    for (_iter204 = this->waiting.begin(); _iter204 != this->waiting.end(); ++_iter204)
+    std::vector<int32_t> ::const_iterator _iter216;
+    for (_iter216 = this->waiting.begin(); _iter216 != this->waiting.end(); ++_iter216)
     {
-      xfer += oprot->writeI32((*_iter204));
+      xfer += oprot->writeI32((*_iter216));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5507,10 +6013,10 @@
   xfer += oprot->writeFieldBegin("charged", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->charged.size()));
-    std::vector<int64_t> ::const_iterator _iter205;
-    for (_iter205 = this->charged.begin(); _iter205 != this->charged.end(); ++_iter205)
+    std::vector<int64_t> ::const_iterator _iter217;
+    for (_iter217 = this->charged.begin(); _iter217 != this->charged.end(); ++_iter217)
     {
-      xfer += oprot->writeI64((*_iter205));
+      xfer += oprot->writeI64((*_iter217));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5529,17 +6035,17 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandColumns::DemandColumns(const DemandColumns& other206) {
-  accounts = other206.accounts;
-  waiting = other206.waiting;
-  charged = other206.charged;
-  __isset = other206.__isset;
+DemandColumns::DemandColumns(const DemandColumns& other218) {
+  accounts = other218.accounts;
+  waiting = other218.waiting;
+  charged = other218.charged;
+  __isset = other218.__isset;
 }
-DemandColumns& DemandColumns::operator=(const DemandColumns& other207) {
-  accounts = other207.accounts;
-  waiting = other207.waiting;
-  charged = other207.charged;
-  __isset = other207.__isset;
+DemandColumns& DemandColumns::operator=(const DemandColumns& other219) {
+  accounts = other219.accounts;
+  waiting = other219.waiting;
+  charged = other219.charged;
+  __isset = other219.__isset;
   return *this;
 }
 void DemandColumns::printTo(std::ostream& out) const {
@@ -5607,14 +6113,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size208;
-            ::apache::thrift::protocol::TType _etype211;
-            xfer += iprot->readListBegin(_etype211, _size208);
-            this->held.resize(_size208);
-            uint32_t _i212;
-            for (_i212 = 0; _i212 < _size208; ++_i212)
+            uint32_t _size220;
+            ::apache::thrift::protocol::TType _etype223;
+            xfer += iprot->readListBegin(_etype223, _size220);
+            this->held.resize(_size220);
+            uint32_t _i224;
+            for (_i224 = 0; _i224 < _size220; ++_i224)
             {
-              xfer += iprot->readI32(this->held[_i212]);
+              xfer += iprot->readI32(this->held[_i224]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5627,14 +6133,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->idle.clear();
-            uint32_t _size213;
-            ::apache::thrift::protocol::TType _etype216;
-            xfer += iprot->readListBegin(_etype216, _size213);
-            this->idle.resize(_size213);
-            uint32_t _i217;
-            for (_i217 = 0; _i217 < _size213; ++_i217)
+            uint32_t _size225;
+            ::apache::thrift::protocol::TType _etype228;
+            xfer += iprot->readListBegin(_etype228, _size225);
+            this->idle.resize(_size225);
+            uint32_t _i229;
+            for (_i229 = 0; _i229 < _size225; ++_i229)
             {
-              xfer += iprot->readI32(this->idle[_i217]);
+              xfer += iprot->readI32(this->idle[_i229]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5667,10 +6173,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->held.size()));
-    std::vector<int32_t> ::const_iterator _iter218;
-    for (_iter218 = this->held.begin(); _iter218 != this->held.end(); ++_iter218)
+    std::vector<int32_t> ::const_iterator _iter230;
+    for (_iter230 = this->held.begin(); _iter230 != this->held.end(); ++_iter230)
     {
-      xfer += oprot->writeI32((*_iter218));
+      xfer += oprot->writeI32((*_iter230));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5679,10 +6185,10 @@
   xfer += oprot->writeFieldBegin("idle", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->idle.size()));
-    std::vector<int32_t> ::const_iterator _iter219;
-    for (_iter219 = this->idle.begin(); _iter219 != this->idle.end(); ++_iter219)
+    std::vector<int32_t> ::const_iterator _iter231;
+    for (_iter231 = this->idle.begin(); _iter231 != this->idle.end(); ++_iter231)
     {
-      xfer += oprot->writeI32((*_iter219));
+      xfer += oprot->writeI32((*_iter231));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5701,17 +6207,17 @@
   swap(a.__isset, b.__isset);
 }
 
-HeldColumns::HeldColumns(const HeldColumns& other220) {
-  targets = other220.targets;
-  held = other220.held;
-  idle = other220.idle;
-  __isset = other220.__isset;
+HeldColumns::HeldColumns(const HeldColumns& other232) {
+  targets = other232.targets;
+  held = other232.held;
+  idle = other232.idle;
+  __isset = other232.__isset;
 }
-HeldColumns& HeldColumns::operator=(const HeldColumns& other221) {
-  targets = other221.targets;
-  held = other221.held;
-  idle = other221.idle;
-  __isset = other221.__isset;
+HeldColumns& HeldColumns::operator=(const HeldColumns& other233) {
+  targets = other233.targets;
+  held = other233.held;
+  idle = other233.idle;
+  __isset = other233.__isset;
   return *this;
 }
 void HeldColumns::printTo(std::ostream& out) const {
@@ -5779,14 +6285,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->counts.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
+            uint32_t _size234;
+            ::apache::thrift::protocol::TType _etype237;
+            xfer += iprot->readListBegin(_etype237, _size234);
+            this->counts.resize(_size234);
+            uint32_t _i238;
+            for (_i238 = 0; _i238 < _size234; ++_i238)
             {
-              xfer += iprot->readI32(this->counts[_i226]);
+              xfer += iprot->readI32(this->counts[_i238]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5827,10 +6333,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
-    std::vector<int32_t> ::const_iterator _iter227;
-    for (_iter227 = this->counts.begin(); _iter227 != this->counts.end(); ++_iter227)
+    std::vector<int32_t> ::const_iterator _iter239;
+    for (_iter239 = this->counts.begin(); _iter239 != this->counts.end(); ++_iter239)
     {
-      xfer += oprot->writeI32((*_iter227));
+      xfer += oprot->writeI32((*_iter239));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5853,17 +6359,17 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantColumns::GrantColumns(const GrantColumns& other228) {
-  targets = other228.targets;
-  counts = other228.counts;
-  accounts = other228.accounts;
-  __isset = other228.__isset;
+GrantColumns::GrantColumns(const GrantColumns& other240) {
+  targets = other240.targets;
+  counts = other240.counts;
+  accounts = other240.accounts;
+  __isset = other240.__isset;
 }
-GrantColumns& GrantColumns::operator=(const GrantColumns& other229) {
-  targets = other229.targets;
-  counts = other229.counts;
-  accounts = other229.accounts;
-  __isset = other229.__isset;
+GrantColumns& GrantColumns::operator=(const GrantColumns& other241) {
+  targets = other241.targets;
+  counts = other241.counts;
+  accounts = other241.accounts;
+  __isset = other241.__isset;
   return *this;
 }
 void GrantColumns::printTo(std::ostream& out) const {
@@ -5927,14 +6433,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tags.clear();
-            uint32_t _size230;
-            ::apache::thrift::protocol::TType _etype233;
-            xfer += iprot->readListBegin(_etype233, _size230);
-            this->tags.resize(_size230);
-            uint32_t _i234;
-            for (_i234 = 0; _i234 < _size230; ++_i234)
+            uint32_t _size242;
+            ::apache::thrift::protocol::TType _etype245;
+            xfer += iprot->readListBegin(_etype245, _size242);
+            this->tags.resize(_size242);
+            uint32_t _i246;
+            for (_i246 = 0; _i246 < _size242; ++_i246)
             {
-              xfer += iprot->readI64(this->tags[_i234]);
+              xfer += iprot->readI64(this->tags[_i246]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5967,10 +6473,10 @@
   xfer += oprot->writeFieldBegin("tags", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tags.size()));
-    std::vector<int64_t> ::const_iterator _iter235;
-    for (_iter235 = this->tags.begin(); _iter235 != this->tags.end(); ++_iter235)
+    std::vector<int64_t> ::const_iterator _iter247;
+    for (_iter247 = this->tags.begin(); _iter247 != this->tags.end(); ++_iter247)
     {
-      xfer += oprot->writeI64((*_iter235));
+      xfer += oprot->writeI64((*_iter247));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5988,15 +6494,15 @@
   swap(a.__isset, b.__isset);
 }
 
-TagColumns::TagColumns(const TagColumns& other236) {
-  accounts = other236.accounts;
-  tags = other236.tags;
-  __isset = other236.__isset;
+TagColumns::TagColumns(const TagColumns& other248) {
+  accounts = other248.accounts;
+  tags = other248.tags;
+  __isset = other248.__isset;
 }
-TagColumns& TagColumns::operator=(const TagColumns& other237) {
-  accounts = other237.accounts;
-  tags = other237.tags;
-  __isset = other237.__isset;
+TagColumns& TagColumns::operator=(const TagColumns& other249) {
+  accounts = other249.accounts;
+  tags = other249.tags;
+  __isset = other249.__isset;
   return *this;
 }
 void TagColumns::printTo(std::ostream& out) const {
@@ -6063,14 +6569,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->charged.clear();
-            uint32_t _size238;
-            ::apache::thrift::protocol::TType _etype241;
-            xfer += iprot->readListBegin(_etype241, _size238);
-            this->charged.resize(_size238);
-            uint32_t _i242;
-            for (_i242 = 0; _i242 < _size238; ++_i242)
+            uint32_t _size250;
+            ::apache::thrift::protocol::TType _etype253;
+            xfer += iprot->readListBegin(_etype253, _size250);
+            this->charged.resize(_size250);
+            uint32_t _i254;
+            for (_i254 = 0; _i254 < _size250; ++_i254)
             {
-              xfer += iprot->readI64(this->charged[_i242]);
+              xfer += iprot->readI64(this->charged[_i254]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6083,14 +6589,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tags.clear();
-            uint32_t _size243;
-            ::apache::thrift::protocol::TType _etype246;
-            xfer += iprot->readListBegin(_etype246, _size243);
-            this->tags.resize(_size243);
-            uint32_t _i247;
-            for (_i247 = 0; _i247 < _size243; ++_i247)
+            uint32_t _size255;
+            ::apache::thrift::protocol::TType _etype258;
+            xfer += iprot->readListBegin(_etype258, _size255);
+            this->tags.resize(_size255);
+            uint32_t _i259;
+            for (_i259 = 0; _i259 < _size255; ++_i259)
             {
-              xfer += iprot->readI64(this->tags[_i247]);
+              xfer += iprot->readI64(this->tags[_i259]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6123,10 +6629,10 @@
   xfer += oprot->writeFieldBegin("charged", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->charged.size()));
-    std::vector<int64_t> ::const_iterator _iter248;
-    for (_iter248 = this->charged.begin(); _iter248 != this->charged.end(); ++_iter248)
+    std::vector<int64_t> ::const_iterator _iter260;
+    for (_iter260 = this->charged.begin(); _iter260 != this->charged.end(); ++_iter260)
     {
-      xfer += oprot->writeI64((*_iter248));
+      xfer += oprot->writeI64((*_iter260));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6135,10 +6641,10 @@
   xfer += oprot->writeFieldBegin("tags", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tags.size()));
-    std::vector<int64_t> ::const_iterator _iter249;
-    for (_iter249 = this->tags.begin(); _iter249 != this->tags.end(); ++_iter249)
+    std::vector<int64_t> ::const_iterator _iter261;
+    for (_iter261 = this->tags.begin(); _iter261 != this->tags.end(); ++_iter261)
     {
-      xfer += oprot->writeI64((*_iter249));
+      xfer += oprot->writeI64((*_iter261));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6157,17 +6663,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ExchangeColumns::ExchangeColumns(const ExchangeColumns& other250) {
-  accounts = other250.accounts;
-  charged = other250.charged;
-  tags = other250.tags;
-  __isset = other250.__isset;
+ExchangeColumns::ExchangeColumns(const ExchangeColumns& other262) {
+  accounts = other262.accounts;
+  charged = other262.charged;
+  tags = other262.tags;
+  __isset = other262.__isset;
 }
-ExchangeColumns& ExchangeColumns::operator=(const ExchangeColumns& other251) {
-  accounts = other251.accounts;
-  charged = other251.charged;
-  tags = other251.tags;
-  __isset = other251.__isset;
+ExchangeColumns& ExchangeColumns::operator=(const ExchangeColumns& other263) {
+  accounts = other263.accounts;
+  charged = other263.charged;
+  tags = other263.tags;
+  __isset = other263.__isset;
   return *this;
 }
 void ExchangeColumns::printTo(std::ostream& out) const {
@@ -6239,14 +6745,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefillTokens.clear();
-            uint32_t _size252;
-            ::apache::thrift::protocol::TType _etype255;
-            xfer += iprot->readListBegin(_etype255, _size252);
-            this->prefillTokens.resize(_size252);
-            uint32_t _i256;
-            for (_i256 = 0; _i256 < _size252; ++_i256)
+            uint32_t _size264;
+            ::apache::thrift::protocol::TType _etype267;
+            xfer += iprot->readListBegin(_etype267, _size264);
+            this->prefillTokens.resize(_size264);
+            uint32_t _i268;
+            for (_i268 = 0; _i268 < _size264; ++_i268)
             {
-              xfer += iprot->readI32(this->prefillTokens[_i256]);
+              xfer += iprot->readI32(this->prefillTokens[_i268]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6259,14 +6765,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size257;
-            ::apache::thrift::protocol::TType _etype260;
-            xfer += iprot->readListBegin(_etype260, _size257);
-            this->running.resize(_size257);
-            uint32_t _i261;
-            for (_i261 = 0; _i261 < _size257; ++_i261)
+            uint32_t _size269;
+            ::apache::thrift::protocol::TType _etype272;
+            xfer += iprot->readListBegin(_etype272, _size269);
+            this->running.resize(_size269);
+            uint32_t _i273;
+            for (_i273 = 0; _i273 < _size269; ++_i273)
             {
-              xfer += iprot->readI32(this->running[_i261]);
+              xfer += iprot->readI32(this->running[_i273]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6279,14 +6785,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memoryTokens.clear();
-            uint32_t _size262;
-            ::apache::thrift::protocol::TType _etype265;
-            xfer += iprot->readListBegin(_etype265, _size262);
-            this->memoryTokens.resize(_size262);
-            uint32_t _i266;
-            for (_i266 = 0; _i266 < _size262; ++_i266)
+            uint32_t _size274;
+            ::apache::thrift::protocol::TType _etype277;
+            xfer += iprot->readListBegin(_etype277, _size274);
+            this->memoryTokens.resize(_size274);
+            uint32_t _i278;
+            for (_i278 = 0; _i278 < _size274; ++_i278)
             {
-              xfer += iprot->readI32(this->memoryTokens[_i266]);
+              xfer += iprot->readI32(this->memoryTokens[_i278]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6319,10 +6825,10 @@
   xfer += oprot->writeFieldBegin("prefillTokens", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->prefillTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter267;
-    for (_iter267 = this->prefillTokens.begin(); _iter267 != this->prefillTokens.end(); ++_iter267)
+    std::vector<int32_t> ::const_iterator _iter279;
+    for (_iter279 = this->prefillTokens.begin(); _iter279 != this->prefillTokens.end(); ++_iter279)
     {
-      xfer += oprot->writeI32((*_iter267));
+      xfer += oprot->writeI32((*_iter279));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6331,10 +6837,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
-    std::vector<int32_t> ::const_iterator _iter268;
-    for (_iter268 = this->running.begin(); _iter268 != this->running.end(); ++_iter268)
+    std::vector<int32_t> ::const_iterator _iter280;
+    for (_iter280 = this->running.begin(); _iter280 != this->running.end(); ++_iter280)
     {
-      xfer += oprot->writeI32((*_iter268));
+      xfer += oprot->writeI32((*_iter280));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6343,10 +6849,10 @@
   xfer += oprot->writeFieldBegin("memoryTokens", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->memoryTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter269;
-    for (_iter269 = this->memoryTokens.begin(); _iter269 != this->memoryTokens.end(); ++_iter269)
+    std::vector<int32_t> ::const_iterator _iter281;
+    for (_iter281 = this->memoryTokens.begin(); _iter281 != this->memoryTokens.end(); ++_iter281)
     {
-      xfer += oprot->writeI32((*_iter269));
+      xfer += oprot->writeI32((*_iter281));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6366,19 +6872,19 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetUseColumns::TargetUseColumns(const TargetUseColumns& other270) {
-  targets = other270.targets;
-  prefillTokens = other270.prefillTokens;
-  running = other270.running;
-  memoryTokens = other270.memoryTokens;
-  __isset = other270.__isset;
+TargetUseColumns::TargetUseColumns(const TargetUseColumns& other282) {
+  targets = other282.targets;
+  prefillTokens = other282.prefillTokens;
+  running = other282.running;
+  memoryTokens = other282.memoryTokens;
+  __isset = other282.__isset;
 }
-TargetUseColumns& TargetUseColumns::operator=(const TargetUseColumns& other271) {
-  targets = other271.targets;
-  prefillTokens = other271.prefillTokens;
-  running = other271.running;
-  memoryTokens = other271.memoryTokens;
-  __isset = other271.__isset;
+TargetUseColumns& TargetUseColumns::operator=(const TargetUseColumns& other283) {
+  targets = other283.targets;
+  prefillTokens = other283.prefillTokens;
+  running = other283.running;
+  memoryTokens = other283.memoryTokens;
+  __isset = other283.__isset;
   return *this;
 }
 void TargetUseColumns::printTo(std::ostream& out) const {
@@ -6447,14 +6953,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->askedTokens.clear();
-            uint32_t _size272;
-            ::apache::thrift::protocol::TType _etype275;
-            xfer += iprot->readListBegin(_etype275, _size272);
-            this->askedTokens.resize(_size272);
-            uint32_t _i276;
-            for (_i276 = 0; _i276 < _size272; ++_i276)
+            uint32_t _size284;
+            ::apache::thrift::protocol::TType _etype287;
+            xfer += iprot->readListBegin(_etype287, _size284);
+            this->askedTokens.resize(_size284);
+            uint32_t _i288;
+            for (_i288 = 0; _i288 < _size284; ++_i288)
             {
-              xfer += iprot->readI64(this->askedTokens[_i276]);
+              xfer += iprot->readI64(this->askedTokens[_i288]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6467,14 +6973,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->givenTokens.clear();
-            uint32_t _size277;
-            ::apache::thrift::protocol::TType _etype280;
-            xfer += iprot->readListBegin(_etype280, _size277);
-            this->givenTokens.resize(_size277);
-            uint32_t _i281;
-            for (_i281 = 0; _i281 < _size277; ++_i281)
+            uint32_t _size289;
+            ::apache::thrift::protocol::TType _etype292;
+            xfer += iprot->readListBegin(_etype292, _size289);
+            this->givenTokens.resize(_size289);
+            uint32_t _i293;
+            for (_i293 = 0; _i293 < _size289; ++_i293)
             {
-              xfer += iprot->readI64(this->givenTokens[_i281]);
+              xfer += iprot->readI64(this->givenTokens[_i293]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6507,10 +7013,10 @@
   xfer += oprot->writeFieldBegin("askedTokens", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->askedTokens.size()));
-    std::vector<int64_t> ::const_iterator _iter282;
-    for (_iter282 = this->askedTokens.begin(); _iter282 != this->askedTokens.end(); ++_iter282)
+    std::vector<int64_t> ::const_iterator _iter294;
+    for (_iter294 = this->askedTokens.begin(); _iter294 != this->askedTokens.end(); ++_iter294)
     {
-      xfer += oprot->writeI64((*_iter282));
+      xfer += oprot->writeI64((*_iter294));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6519,10 +7025,10 @@
   xfer += oprot->writeFieldBegin("givenTokens", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->givenTokens.size()));
-    std::vector<int64_t> ::const_iterator _iter283;
-    for (_iter283 = this->givenTokens.begin(); _iter283 != this->givenTokens.end(); ++_iter283)
+    std::vector<int64_t> ::const_iterator _iter295;
+    for (_iter295 = this->givenTokens.begin(); _iter295 != this->givenTokens.end(); ++_iter295)
     {
-      xfer += oprot->writeI64((*_iter283));
+      xfer += oprot->writeI64((*_iter295));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6541,17 +7047,17 @@
   swap(a.__isset, b.__isset);
 }
 
-AccountUseColumns::AccountUseColumns(const AccountUseColumns& other284) {
-  accounts = other284.accounts;
-  askedTokens = other284.askedTokens;
-  givenTokens = other284.givenTokens;
-  __isset = other284.__isset;
+AccountUseColumns::AccountUseColumns(const AccountUseColumns& other296) {
+  accounts = other296.accounts;
+  askedTokens = other296.askedTokens;
+  givenTokens = other296.givenTokens;
+  __isset = other296.__isset;
 }
-AccountUseColumns& AccountUseColumns::operator=(const AccountUseColumns& other285) {
-  accounts = other285.accounts;
-  askedTokens = other285.askedTokens;
-  givenTokens = other285.givenTokens;
-  __isset = other285.__isset;
+AccountUseColumns& AccountUseColumns::operator=(const AccountUseColumns& other297) {
+  accounts = other297.accounts;
+  askedTokens = other297.askedTokens;
+  givenTokens = other297.givenTokens;
+  __isset = other297.__isset;
   return *this;
 }
 void AccountUseColumns::printTo(std::ostream& out) const {
@@ -6656,15 +7162,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PartReadColumns::PartReadColumns(const PartReadColumns& other286) {
-  targets = other286.targets;
-  parts = other286.parts;
-  __isset = other286.__isset;
+PartReadColumns::PartReadColumns(const PartReadColumns& other298) {
+  targets = other298.targets;
+  parts = other298.parts;
+  __isset = other298.__isset;
 }
-PartReadColumns& PartReadColumns::operator=(const PartReadColumns& other287) {
-  targets = other287.targets;
-  parts = other287.parts;
-  __isset = other287.__isset;
+PartReadColumns& PartReadColumns::operator=(const PartReadColumns& other299) {
+  targets = other299.targets;
+  parts = other299.parts;
+  __isset = other299.__isset;
   return *this;
 }
 void PartReadColumns::printTo(std::ostream& out) const {
@@ -6886,27 +7392,27 @@
   swap(a.__isset, b.__isset);
 }
 
-RowColumns::RowColumns(const RowColumns& other288) {
-  demand = other288.demand;
-  held = other288.held;
-  grants = other288.grants;
-  tags = other288.tags;
-  exchange = other288.exchange;
-  targets = other288.targets;
-  accounts = other288.accounts;
-  reads = other288.reads;
-  __isset = other288.__isset;
-}
-RowColumns& RowColumns::operator=(const RowColumns& other289) {
-  demand = other289.demand;
-  held = other289.held;
-  grants = other289.grants;
-  tags = other289.tags;
-  exchange = other289.exchange;
-  targets = other289.targets;
-  accounts = other289.accounts;
-  reads = other289.reads;
-  __isset = other289.__isset;
+RowColumns::RowColumns(const RowColumns& other300) {
+  demand = other300.demand;
+  held = other300.held;
+  grants = other300.grants;
+  tags = other300.tags;
+  exchange = other300.exchange;
+  targets = other300.targets;
+  accounts = other300.accounts;
+  reads = other300.reads;
+  __isset = other300.__isset;
+}
+RowColumns& RowColumns::operator=(const RowColumns& other301) {
+  demand = other301.demand;
+  held = other301.held;
+  grants = other301.grants;
+  tags = other301.tags;
+  exchange = other301.exchange;
+  targets = other301.targets;
+  accounts = other301.accounts;
+  reads = other301.reads;
+  __isset = other301.__isset;
   return *this;
 }
 void RowColumns::printTo(std::ostream& out) const {
@@ -7206,35 +7712,35 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other290) {
-  sender = other290.sender;
-  incarnation = other290.incarnation;
-  heartbeat = other290.heartbeat;
-  demand = other290.demand;
-  grants = other290.grants;
-  exchange = other290.exchange;
-  configOffer = other290.configOffer;
-  configRequest = other290.configRequest;
-  load = other290.load;
-  listNews = other290.listNews;
-  columns = other290.columns;
-  placement = other290.placement;
-  __isset = other290.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other291) {
-  sender = other291.sender;
-  incarnation = other291.incarnation;
-  heartbeat = other291.heartbeat;
-  demand = other291.demand;
-  grants = other291.grants;
-  exchange = other291.exchange;
-  configOffer = other291.configOffer;
-  configRequest = other291.configRequest;
-  load = other291.load;
-  listNews = other291.listNews;
-  columns = other291.columns;
-  placement = other291.placement;
-  __isset = other291.__isset;
+Envelope::Envelope(const Envelope& other302) {
+  sender = other302.sender;
+  incarnation = other302.incarnation;
+  heartbeat = other302.heartbeat;
+  demand = other302.demand;
+  grants = other302.grants;
+  exchange = other302.exchange;
+  configOffer = other302.configOffer;
+  configRequest = other302.configRequest;
+  load = other302.load;
+  listNews = other302.listNews;
+  columns = other302.columns;
+  placement = other302.placement;
+  __isset = other302.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other303) {
+  sender = other303.sender;
+  incarnation = other303.incarnation;
+  heartbeat = other303.heartbeat;
+  demand = other303.demand;
+  grants = other303.grants;
+  exchange = other303.exchange;
+  configOffer = other303.configOffer;
+  configRequest = other303.configRequest;
+  load = other303.load;
+  listNews = other303.listNews;
+  columns = other303.columns;
+  placement = other303.placement;
+  __isset = other303.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen/peer_types.h
+++ b/src/wire/gen/peer_types.h
@@ -63,12 +63,18 @@
 
 class CrashNews;
 
+class ZoneDrainRow;
+
+class ZoneDrainList;
+
 class LoadReport;
 
 class PlaceAsk;
 
 class PlaceAnswer;
 
+class ReportedTargetLoad;
+
 class RunNote;
 
 class RunRow;
@@ -1477,8 +1483,114 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashNews& obj);
 
+typedef struct _ZoneDrainRow__isset {
+  _ZoneDrainRow__isset() : zone(false), name(false) {}
+  bool zone :1;
+  bool name :1;
+} _ZoneDrainRow__isset;
+
+class ZoneDrainRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  ZoneDrainRow(const ZoneDrainRow&);
+  ZoneDrainRow& operator=(const ZoneDrainRow&);
+  ZoneDrainRow() noexcept
+               : zone(0),
+                 name() {
+  }
+
+  virtual ~ZoneDrainRow() noexcept;
+  int32_t zone;
+  std::string name;
+
+  _ZoneDrainRow__isset __isset;
+
+  void __set_zone(const int32_t val);
+
+  void __set_name(const std::string& val);
+
+  bool operator == (const ZoneDrainRow & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(name == rhs.name))
+      return false;
+    return true;
+  }
+  bool operator != (const ZoneDrainRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ZoneDrainRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ZoneDrainRow &a, ZoneDrainRow &b);
+
+std::ostream& operator<<(std::ostream& out, const ZoneDrainRow& obj);
+
+typedef struct _ZoneDrainList__isset {
+  _ZoneDrainList__isset() : storeEpoch(false), offset(false), zones(false) {}
+  bool storeEpoch :1;
+  bool offset :1;
+  bool zones :1;
+} _ZoneDrainList__isset;
+
+class ZoneDrainList : public virtual ::apache::thrift::TBase {
+ public:
+
+  ZoneDrainList(const ZoneDrainList&);
+  ZoneDrainList& operator=(const ZoneDrainList&);
+  ZoneDrainList() noexcept
+                : storeEpoch(0),
+                  offset(0) {
+  }
+
+  virtual ~ZoneDrainList() noexcept;
+  int64_t storeEpoch;
+  int64_t offset;
+  std::vector<ZoneDrainRow>  zones;
+
+  _ZoneDrainList__isset __isset;
+
+  void __set_storeEpoch(const int64_t val);
+
+  void __set_offset(const int64_t val);
+
+  void __set_zones(const std::vector<ZoneDrainRow> & val);
+
+  bool operator == (const ZoneDrainList & rhs) const
+  {
+    if (!(storeEpoch == rhs.storeEpoch))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(zones == rhs.zones))
+      return false;
+    return true;
+  }
+  bool operator != (const ZoneDrainList &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ZoneDrainList & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ZoneDrainList &a, ZoneDrainList &b);
+
+std::ostream& operator<<(std::ostream& out, const ZoneDrainList& obj);
+
 typedef struct _LoadReport__isset {
-  _LoadReport__isset() : targets(false), accounts(false), configVersion(false), configAgeMicros(false), stampMicros(false), echoMicros(false), pressed(false), reads(false), partial(false), leaving(false), gone(false), echoIncarnation(false), crashes(false) {}
+  _LoadReport__isset() : targets(false), accounts(false), configVersion(false), configAgeMicros(false), stampMicros(false), echoMicros(false), pressed(false), reads(false), partial(false), leaving(false), gone(false), echoIncarnation(false), crashes(false), drains(false) {}
   bool targets :1;
   bool accounts :1;
   bool configVersion :1;
@@ -1492,6 +1604,7 @@
   bool gone :1;
   bool echoIncarnation :1;
   bool crashes :1;
+  bool drains :1;
 } _LoadReport__isset;
 
 class LoadReport : public virtual ::apache::thrift::TBase {
@@ -1523,6 +1636,7 @@
   std::vector<int32_t>  gone;
   int64_t echoIncarnation;
   CrashNews crashes;
+  ZoneDrainList drains;
 
   _LoadReport__isset __isset;
 
@@ -1552,6 +1666,8 @@
 
   void __set_crashes(const CrashNews& val);
 
+  void __set_drains(const ZoneDrainList& val);
+
   bool operator == (const LoadReport & rhs) const
   {
     if (!(targets == rhs.targets))
@@ -1582,6 +1698,10 @@
       return false;
     else if (__isset.crashes && !(crashes == rhs.crashes))
       return false;
+    if (__isset.drains != rhs.__isset.drains)
+      return false;
+    else if (__isset.drains && !(drains == rhs.drains))
+      return false;
     return true;
   }
   bool operator != (const LoadReport &rhs) const {
@@ -1601,7 +1721,7 @@
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj);
 
 typedef struct _PlaceAsk__isset {
-  _PlaceAsk__isset() : request(false), serviceId(false), account(false), aimMicros(false), waitedMicros(false), patienceMicros(false), goesOn(false), promptTokens(false), outputTokens(false), parts(false), partTokens(false), tried(false) {}
+  _PlaceAsk__isset() : request(false), serviceId(false), account(false), aimMicros(false), waitedMicros(false), patienceMicros(false), goesOn(false), promptTokens(false), outputTokens(false), parts(false), partTokens(false), tried(false), maxGapMicros(false) {}
   bool request :1;
   bool serviceId :1;
   bool account :1;
@@ -1614,6 +1734,7 @@
   bool parts :1;
   bool partTokens :1;
   bool tried :1;
+  bool maxGapMicros :1;
 } _PlaceAsk__isset;
 
 class PlaceAsk : public virtual ::apache::thrift::TBase {
@@ -1631,7 +1752,8 @@
              goesOn(0),
              promptTokens(0),
              outputTokens(0),
-             parts() {
+             parts(),
+             maxGapMicros(0) {
   }
 
   virtual ~PlaceAsk() noexcept;
@@ -1647,6 +1769,7 @@
   std::string parts;
   std::vector<int32_t>  partTokens;
   std::vector<int32_t>  tried;
+  int64_t maxGapMicros;
 
   _PlaceAsk__isset __isset;
 
@@ -1674,6 +1797,8 @@
 
   void __set_tried(const std::vector<int32_t> & val);
 
+  void __set_maxGapMicros(const int64_t val);
+
   bool operator == (const PlaceAsk & rhs) const
   {
     if (!(request == rhs.request))
@@ -1700,6 +1825,10 @@
       return false;
     if (!(tried == rhs.tried))
       return false;
+    if (__isset.maxGapMicros != rhs.__isset.maxGapMicros)
+      return false;
+    else if (__isset.maxGapMicros && !(maxGapMicros == rhs.maxGapMicros))
+      return false;
     return true;
   }
   bool operator != (const PlaceAsk &rhs) const {
@@ -1824,11 +1953,79 @@
 
 std::ostream& operator<<(std::ostream& out, const PlaceAnswer& obj);
 
+typedef struct _ReportedTargetLoad__isset {
+  _ReportedTargetLoad__isset() : running(false), waiting(false), slots(false), slownessPercent(false) {}
+  bool running :1;
+  bool waiting :1;
+  bool slots :1;
+  bool slownessPercent :1;
+} _ReportedTargetLoad__isset;
+
+class ReportedTargetLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReportedTargetLoad(const ReportedTargetLoad&) noexcept;
+  ReportedTargetLoad& operator=(const ReportedTargetLoad&) noexcept;
+  ReportedTargetLoad() noexcept
+                     : running(0),
+                       waiting(0),
+                       slots(0),
+                       slownessPercent(0) {
+  }
+
+  virtual ~ReportedTargetLoad() noexcept;
+  int32_t running;
+  int32_t waiting;
+  int32_t slots;
+  int32_t slownessPercent;
+
+  _ReportedTargetLoad__isset __isset;
+
+  void __set_running(const int32_t val);
+
+  void __set_waiting(const int32_t val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_slownessPercent(const int32_t val);
+
+  bool operator == (const ReportedTargetLoad & rhs) const
+  {
+    if (!(running == rhs.running))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (__isset.slownessPercent != rhs.__isset.slownessPercent)
+      return false;
+    else if (__isset.slownessPercent && !(slownessPercent == rhs.slownessPercent))
+      return false;
+    return true;
+  }
+  bool operator != (const ReportedTargetLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReportedTargetLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReportedTargetLoad &a, ReportedTargetLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const ReportedTargetLoad& obj);
+
 typedef struct _RunNote__isset {
-  _RunNote__isset() : request(false), event(false), restMicros(false) {}
+  _RunNote__isset() : request(false), event(false), restMicros(false), load(false), mayHaveRestarted(false) {}
   bool request :1;
   bool event :1;
   bool restMicros :1;
+  bool load :1;
+  bool mayHaveRestarted :1;
 } _RunNote__isset;
 
 class RunNote : public virtual ::apache::thrift::TBase {
@@ -1839,13 +2036,16 @@
   RunNote() noexcept
           : request(0),
             event(0),
-            restMicros(0) {
+            restMicros(0),
+            mayHaveRestarted(0) {
   }
 
   virtual ~RunNote() noexcept;
   int64_t request;
   int32_t event;
   int64_t restMicros;
+  ReportedTargetLoad load;
+  bool mayHaveRestarted;
 
   _RunNote__isset __isset;
 
@@ -1855,6 +2055,10 @@
 
   void __set_restMicros(const int64_t val);
 
+  void __set_load(const ReportedTargetLoad& val);
+
+  void __set_mayHaveRestarted(const bool val);
+
   bool operator == (const RunNote & rhs) const
   {
     if (!(request == rhs.request))
@@ -1863,6 +2067,14 @@
       return false;
     if (!(restMicros == rhs.restMicros))
       return false;
+    if (__isset.load != rhs.__isset.load)
+      return false;
+    else if (__isset.load && !(load == rhs.load))
+      return false;
+    if (__isset.mayHaveRestarted != rhs.__isset.mayHaveRestarted)
+      return false;
+    else if (__isset.mayHaveRestarted && !(mayHaveRestarted == rhs.mayHaveRestarted))
+      return false;
     return true;
   }
   bool operator != (const RunNote &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -170,6 +170,21 @@
   4: list<QuarantineRow> quarantined
 }
 
+// A zone whose targets get no requests.
+struct ZoneDrainRow {
+  1: i32 zone
+  // Name of the zone, for logs.
+  2: string name
+}
+
+// The drained zones as of an offset of the store's records in an epoch of the
+// store.
+struct ZoneDrainList {
+  1: i64 storeEpoch
+  2: i64 offset
+  3: list<ZoneDrainRow> zones
+}
+
 struct LoadReport {
   1: list<TargetUse> targets
   2: list<AccountUse> accounts
@@ -188,6 +203,7 @@
   // Which life of the receiver sent the stamp that is echoed.
   12: i64 echoIncarnation
   13: optional CrashNews crashes
+  14: optional ZoneDrainList drains
 }
 
 // Asks a lead of the zone where a request may run. Numbers of requests are the
@@ -209,6 +225,8 @@
   11: list<i32> partTokens
   // Targets that it was sent to before, and may not go to again.
   12: list<i32> tried
+  // Longest gap between two events with which the response is on time.
+  13: optional i64 maxGapMicros
 }
 
 struct PlaceAnswer {
@@ -228,6 +246,15 @@
   10: i32 standing
 }
 
+// Load that a target reported of itself with a response.
+struct ReportedTargetLoad {
+  1: i32 running
+  2: i32 waiting
+  3: i32 slots
+  // How long work takes there at this moment, relative to normal; 100: as usual.
+  4: optional i32 slownessPercent
+}
+
 // What has become of a request that a lead has placed or still holds.
 struct RunNote {
   1: i64 request
@@ -235,6 +262,9 @@
   2: i32 event
   // How long its target wants nothing from then on.
   3: i64 restMicros
+  4: optional ReportedTargetLoad load
+  // The attempt failed in a way that a crash or restart of the target causes.
+  5: optional bool mayHaveRestarted
 }
 
 // A run as its router tells a lead that may not know it.
