--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -376,6 +376,12 @@
                            node_.PlacementsForOthers().RemoteRequestCount()));
   add("placement_messages_skipped_total",
       node_.PlacementsForOthers().MalformedCount());
+  add("zones_drained", static_cast<std::int64_t>(node_.DrainedZoneCount()));
+  const auto& dispatcher = node_.WorkDispatcher();
+  add("targets_cold",
+      static_cast<std::int64_t>(dispatcher.ColdTargetCount(BootNow())));
+  add("cold_placements_total", dispatcher.ColdPlacementCount());
+  add("cold_holds_total", dispatcher.ColdHoldCount());
   add("requests_open", static_cast<std::int64_t>(node_.RequestCount()));
   add("requests_waiting",
       static_cast<std::int64_t>(node_.WorkDispatcher().WaitingCount()));
@@ -504,9 +510,19 @@
   node_.OnConfigurationConfirmed(aAsOf);
 }
 
+auto ForwardingProcess::OnZoneDrains(
+  const std::vector<ZoneDrainRecord>& aRecords,
+  bool aIsSnapshot,
+  std::int64_t aOffset) -> void
+{
+  node_.OnZoneDrains(aRecords, aIsSnapshot, aOffset, BootNow());
+  Settle();
+}
+
 auto ForwardingProcess::OnTarget(const std::string& aKey,
                                  RegisteredTarget aTarget) -> void
 {
+  aTarget.registeredAt_ = BootNow();
   node_.Directory().Put(aKey, std::move(aTarget));
 }
 
@@ -516,9 +532,13 @@
 }
 
 auto ForwardingProcess::OnTargets(
-  const std::vector<std::pair<std::string, RegisteredTarget>>& aAll) -> void
+  std::vector<std::pair<std::string, RegisteredTarget>> aAll) -> void
 {
-  node_.Directory().Replace(aAll, BootNow());
+  const auto now = BootNow();
+  for (auto& entry : aAll) {
+    entry.second.registeredAt_ = now;
+  }
+  node_.Directory().Replace(aAll, now);
 }
 
 auto ForwardingProcess::OnTargetListReachable(bool aReachable) -> void
--- a/src/main/forwarding_process.h
+++ b/src/main/forwarding_process.h
@@ -109,11 +109,13 @@
                        std::string aText,
                        Instant aAsOf) -> void override;
   auto OnConfigurationConfirmed(Instant aAsOf) -> void override;
+  auto OnZoneDrains(const std::vector<ZoneDrainRecord>& aRecords,
+                    bool aIsSnapshot,
+                    std::int64_t aOffset) -> void override;
   auto OnTarget(const std::string& aKey, RegisteredTarget aTarget)
     -> void override;
   auto OnTargetRemoved(const std::string& aKey) -> void override;
-  auto OnTargets(
-    const std::vector<std::pair<std::string, RegisteredTarget>>& aAll)
+  auto OnTargets(std::vector<std::pair<std::string, RegisteredTarget>> aAll)
     -> void override;
   auto OnTargetListReachable(bool aReachable) -> void override;
   auto OnRouters(const std::vector<RouterAddress>& aRouters) -> void override;
--- a/src/process/forwarding/discovery_sink.h
+++ b/src/process/forwarding/discovery_sink.h
@@ -7,6 +7,7 @@
 #include "process/peers/read_scheduler.h"
 #include "process/peers/store_epoch_tracker.h"
 #include "process/placement/target_directory.h"
+#include "process/placement/zone_drains.h"
 #include "version/route_table.h"
 
 #include <optional>
@@ -35,11 +36,16 @@
                                Instant aAsOf) -> void = 0;
   /// The last configuration was still the newest at aAsOf.
   virtual auto OnConfigurationConfirmed(Instant aAsOf) -> void = 0;
+  /// Records of zone drains up to an offset of the configuration's topic. If
+  /// aIsSnapshot, zones without a record are not drained.
+  virtual auto OnZoneDrains(const std::vector<ZoneDrainRecord>& aRecords,
+                            bool aIsSnapshot,
+                            std::int64_t aOffset) -> void = 0;
   virtual auto OnTarget(const std::string& aKey, RegisteredTarget aTarget)
     -> void = 0;
   virtual auto OnTargetRemoved(const std::string& aKey) -> void = 0;
   virtual auto OnTargets(
-    const std::vector<std::pair<std::string, RegisteredTarget>>& aSnapshot)
+    std::vector<std::pair<std::string, RegisteredTarget>> aSnapshot)
     -> void = 0;
   virtual auto OnTargetListReachable(bool aReachable) -> void = 0;
   virtual auto OnRouters(const std::vector<RouterAddress>& aRouters)
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -316,6 +316,7 @@
   const auto* target = directory_.Find(aTarget);
   const auto* load = dispatcher_.Loads().Find(aTarget);
   return target == nullptr || target->leaving_ ||
+         directory_.IsZoneDrained(target->zone_) ||
          (load != nullptr && load->PausedUntil() > aNow);
 }
 
@@ -412,7 +413,7 @@
   LogSent(*request, aDecision, *target, aNow);
   const auto* source =
     aDecision.copyFrom_ ? directory_.Find(*aDecision.copyFrom_) : nullptr;
-  if (source != nullptr) {
+  if (source != nullptr && !directory_.IsZoneDrained(source->zone_)) {
     ++counters_.copies_;
     send.copyFrom_ = source->host_ + ':' + std::to_string(source->port_);
   }
@@ -571,13 +572,15 @@
   , dispatcher_(&directory_,
                 aSelf.zone_,
                 static_cast<std::uint32_t>(aIncarnation),
-                aOptions.policy_)
+                aOptions.policy_,
+                aSelf.id_)
   , quarantine_(aLog)
   , peers_(std::move(aSelf),
            aIncarnation,
            &config_,
            &dispatcher_,
            &quarantine_,
+           &drains_,
            aLog,
            &effects_,
            aOptions.policy_)
@@ -586,6 +589,7 @@
   , placementStateLog_(&dispatcher_, aLog)
   , overloadController_(aOptions.policy_)
 {
+  dispatcher_.SetColdStartLimits(aOptions.coldStarts_);
   dispatcher_.SetWholeHandler([this](const PartIds& aParts, Instant aNow) {
     quarantine_.OnAnswer(aParts, { aNow, 0us, true });
   });
@@ -596,6 +600,7 @@
   const auto policy = options_.policy_;
   options_ = aOptions;
   options_.policy_ = policy;
+  dispatcher_.SetColdStartLimits(options_.coldStarts_);
 }
 
 auto ForwardingNode::OnArrival(IncomingRequest aArrival, Instant aNow) -> void
@@ -774,6 +779,9 @@
   if (request == nullptr || request->attempt_ != aAttempt) {
     return;
   }
+  if (aStage != AttemptStage::kInvalidResponse) {
+    placements_.OnTargetLost(aRequest, request->target_, aNow);
+  }
   placements_.OnRunEnd(aRequest, RunOutcome::kFailed, aNow);
   request->attemptActive_ = false;
   RecordFailure(request, aStage, aNow);
@@ -860,6 +868,43 @@
                                });
 }
 
+auto ForwardingNode::OnZoneDrains(const std::vector<ZoneDrainRecord>& aRecords,
+                                  bool aIsSnapshot,
+                                  std::int64_t aOffset,
+                                  Instant aNow) -> void
+{
+  const StorePosition position{ storeEpoch_.Newest().value_or(0), aOffset };
+  if (aIsSnapshot) {
+    drains_.OnSnapshot(aRecords, position, aNow);
+  } else {
+    drains_.OnRecords(aRecords, position, aNow);
+  }
+  ApplyDrainChanges(aNow);
+}
+
+auto ForwardingNode::ApplyDrainChanges(Instant aNow) -> void
+{
+  for (const auto& change : drains_.TakeChanges()) {
+    directory_.SetZoneDrained(change.zone_, change.isDrained_);
+    if (!change.isDrained_) {
+      dispatcher_.OnZoneReturned(change.zone_, aNow);
+    }
+    peers_.OnDrainsChanged();
+    log_->Write(change.isDrained_ ? "zone_drain_began" : "zone_drain_ended",
+                { { "zone", change.name_ },
+                  { "source", DrainSourceName(change.source_) },
+                  { "store_epoch", change.position_.epoch_ },
+                  { "offset", change.position_.offset_ },
+                  { "targets", static_cast<std::int64_t>(
+                                 directory_.InZone(change.zone_).size()) } });
+  }
+}
+
+auto ForwardingNode::DrainedZoneCount() const -> std::size_t
+{
+  return drains_.Count();
+}
+
 auto ForwardingNode::Directory() -> TargetDirectory&
 {
   return directory_;
@@ -878,6 +923,7 @@
                   { "hold_ms", ToMillis(kRewriteGracePeriod) } });
   }
   peers_.SetListed(aRouters, aNow);
+  dispatcher_.SetColdPlacers(peers_.Peers().ListedLeads());
 }
 
 auto ForwardingNode::TimeToRead(SharedList aList,
@@ -899,6 +945,7 @@
   -> void
 {
   peers_.OnPeer(aEnvelope, aNow);
+  ApplyDrainChanges(aNow);
   if (aEnvelope.__isset.load) {
     for (const auto target : aEnvelope.load.leaving) {
       directory_.MarkLeaving(TargetId{ target });
@@ -935,6 +982,8 @@
 auto ForwardingNode::Tick(Instant aNow) -> void
 {
   ExpireRequests(aNow);
+  drains_.Tick(aNow);
+  ApplyDrainChanges(aNow);
   directory_.Tick(aNow);
   dispatcher_.Tick(aNow);
   placements_.Tick(aNow);
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -15,6 +15,7 @@
 #include "process/placement/placement_state_log.h"
 #include "process/placement/policy.h"
 #include "process/placement/target_directory.h"
+#include "process/placement/zone_drains.h"
 #include "process/quarantine/part_quarantine.h"
 #include "request/request_metadata.h"
 #include "request/request_state_machine.h"
@@ -35,6 +36,8 @@
   /// to check a key.
   Duration maxConfigAgeForKeys_ = 5s;
   RetryBudgetLimits retries_;
+  /// Rate limit of all routers together for a cold target.
+  ColdStartLimits coldStarts_;
   /// Fixed at process start; later settings don't change it.
   ForwardingPolicy policy_;
 };
@@ -137,6 +140,7 @@
   EventLog* log_;
   ActiveConfig config_;
   TargetDirectory directory_;
+  ZoneDrains drains_;
   Dispatcher dispatcher_;
   std::map<RequestId, std::unique_ptr<Request>> requests_;
   std::set<std::pair<Instant, RequestId>> deadlines_;
@@ -236,6 +240,8 @@
   auto Apply(const RejectDecision& aDecision, Instant aNow) -> void;
   auto ExpireRequests(Instant aNow) -> void;
   auto LogTargetChanges() -> void;
+  /// Has drains that began or ended take effect.
+  auto ApplyDrainChanges(Instant aNow) -> void;
   /// Whether a router's entry is of an older store epoch: it was written before
   /// the store was restored from an older copy.
   [[nodiscard]] auto HasOlderStoreEpoch(
@@ -289,6 +295,12 @@
   /// The store epoch that a response or a peer's update belongs to.
   auto OnStoreEpoch(std::optional<std::int64_t> aEpoch, Instant aNow)
     -> EpochOrder;
+  /// Records of zone drains, all of them if aIsSnapshot, that were read from
+  /// the store up to the offset.
+  auto OnZoneDrains(const std::vector<ZoneDrainRecord>& aRecords,
+                    bool aIsSnapshot,
+                    std::int64_t aOffset,
+                    Instant aNow) -> void;
   auto Directory() -> TargetDirectory&;
   auto OnRouters(const std::vector<RouterAddress>& aRouters, Instant aNow)
     -> void;
@@ -332,6 +344,7 @@
   [[nodiscard]] auto PlacementsForOthers() const -> const PlacementServer&;
   [[nodiscard]] auto Peers() const -> const PeerTable&;
   [[nodiscard]] auto Quarantine() const -> const PartQuarantine&;
+  [[nodiscard]] auto DrainedZoneCount() const -> std::size_t;
   [[nodiscard]] auto AccountOf(RequestId aRequest) const -> std::string_view;
   [[nodiscard]] auto RouteOf(RequestId aRequest) const -> const RouteObject*;
 };
--- a/src/process/membership/peer_table.cpp
+++ b/src/process/membership/peer_table.cpp
@@ -111,13 +111,17 @@
   }
 }
 
-auto PeerTable::ComputeLeads(ZoneId aZone) const -> ZoneLeads
+auto PeerTable::MaxZoneLeads() const -> std::size_t
 {
   const auto zones = static_cast<int>(Zones().size());
-  const auto maxZoneLeads =
-    maxLeads_ == 0
-      ? peers_.size() + 1
-      : static_cast<std::size_t>(std::max(kMinZoneLeads, maxLeads_ / zones));
+  return maxLeads_ == 0 ? peers_.size() + 1
+                        : static_cast<std::size_t>(
+                            std::max(kMinZoneLeads, maxLeads_ / zones));
+}
+
+auto PeerTable::ComputeLeads(ZoneId aZone) const -> ZoneLeads
+{
+  const auto maxZoneLeads = MaxZoneLeads();
   std::vector<const RouterAddress*> live;
   std::vector<const RouterAddress*> unheard;
   for (const auto router : MembersOf(aZone)) {
@@ -512,6 +516,26 @@
   return CachedLeads(aZone).unheard_;
 }
 
+auto PeerTable::ListedLeads() const -> std::vector<RouterId>
+{
+  std::vector<RouterId> leads;
+  for (const auto zone : Zones()) {
+    std::vector<const RouterAddress*> listed;
+    for (const auto router : MembersOf(zone)) {
+      const auto& peer = peers_.at(router);
+      if (peer.listed_) {
+        listed.push_back(&peer.address_);
+      }
+    }
+    if (zone == self_.zone_) {
+      listed.push_back(&self_);
+    }
+    const auto selected = SelectLeads(std::move(listed), MaxZoneLeads());
+    leads.insert(leads.end(), selected.begin(), selected.end());
+  }
+  return leads;
+}
+
 auto PeerTable::IsLead() const -> bool
 {
   return Contains(Leads(self_.zone_), self_.id_);
--- a/src/process/membership/peer_table.h
+++ b/src/process/membership/peer_table.h
@@ -157,6 +157,7 @@
   auto CheckPeers(Instant aNow) -> void;
   [[nodiscard]] auto CachedLeads(ZoneId aZone) const -> const ZoneLeads&;
   [[nodiscard]] auto ComputeLeads(ZoneId aZone) const -> ZoneLeads;
+  [[nodiscard]] auto MaxZoneLeads() const -> std::size_t;
   /// Updates whether the peer's heartbeats are expected, and since when.
   auto UpdateMonitoring(RouterId aId, Peer* aPeer, Instant aNow) -> void;
   /// Routers of this router's zone to send heartbeats to.
@@ -209,6 +210,9 @@
   /// yet.
   [[nodiscard]] auto UnheardLeads(ZoneId aZone) const
     -> const std::vector<RouterId>&;
+  /// The routers of all zones that would be leads if all listed routers were
+  /// alive. Depends on the list alone.
+  [[nodiscard]] auto ListedLeads() const -> std::vector<RouterId>;
   /// Whether this router is a lead of its zone.
   [[nodiscard]] auto IsLead() const -> bool;
   /// All zones with a known peer, and this router's own zone.
--- a/src/process/peers/peer_exchange.cpp
+++ b/src/process/peers/peer_exchange.cpp
@@ -155,6 +155,13 @@
   if (aNow < reportGoneUntil_) {
     aEnvelope.load.gone = goneTargets_;
   }
+  if (const auto drains = drains_->List()) {
+    aEnvelope.load.__set_drains(*drains);
+  }
+  if (const auto cold = dispatcher_->ColdTargetList(aNow);
+      cold && peers_.IsLead()) {
+    aEnvelope.load.__set_cold(*cold);
+  }
   if (peers_.IsLead() && quarantine_->HasRows()) {
     aEnvelope.load.__isset.crashes = true;
     aEnvelope.load.crashes.quarantined = quarantine_->Rows(aNow);
@@ -210,6 +217,12 @@
   if (aReport.__isset.crashes) {
     quarantine_->OnPeerNews(aReport.crashes, aNow);
   }
+  if (aReport.__isset.cold) {
+    dispatcher_->OnPeerColdTargets(aReport.cold, aNow);
+  }
+  if (aReport.__isset.drains) {
+    drains_->OnPeerList(aReport.drains, aNow);
+  }
   if (aReport.stampMicros == 0) {
     return;
   }
@@ -401,6 +414,7 @@
                            ActiveConfig* aConfig,
                            Dispatcher* aDispatcher,
                            PartQuarantine* aQuarantine,
+                           ZoneDrains* aDrains,
                            EventLog* aLog,
                            ForwardingEffects* aEffects,
                            const ForwardingPolicy& aPolicy)
@@ -408,6 +422,7 @@
   , config_(aConfig)
   , dispatcher_(aDispatcher)
   , quarantine_(aQuarantine)
+  , drains_(aDrains)
   , log_(aLog)
   , effects_(aEffects)
   , policy_(aPolicy)
@@ -481,6 +496,11 @@
   newerConfigSince_.reset();
 }
 
+auto PeerExchange::OnDrainsChanged() -> void
+{
+  announcementDue_ = true;
+}
+
 auto PeerExchange::Tick(Instant aNow) -> void
 {
   SendHeartbeats(aNow);
--- a/src/process/peers/peer_exchange.h
+++ b/src/process/peers/peer_exchange.h
@@ -8,6 +8,7 @@
 #include "process/peers/read_scheduler.h"
 #include "process/placement/dispatcher.h"
 #include "process/placement/placement_wire.h"
+#include "process/placement/zone_drains.h"
 #include "process/quarantine/part_quarantine.h"
 
 #include <map>
@@ -69,6 +70,7 @@
   ActiveConfig* config_;
   Dispatcher* dispatcher_;
   PartQuarantine* quarantine_;
+  ZoneDrains* drains_;
   EventLog* log_;
   ForwardingEffects* effects_;
   ForwardingPolicy policy_;
@@ -142,6 +144,7 @@
                ActiveConfig* aConfig,
                Dispatcher* aDispatcher,
                PartQuarantine* aQuarantine,
+               ZoneDrains* aDrains,
                EventLog* aLog,
                ForwardingEffects* aEffects,
                const ForwardingPolicy& aPolicy = {});
@@ -159,6 +162,8 @@
   /// A newer configuration is active. If it was read from its source, or this
   /// router is a lead, the next tick announces it to the peers.
   auto OnConfigurationChanged(bool aFromSource) -> void;
+  /// The drained zones have changed; the next tick announces them.
+  auto OnDrainsChanged() -> void;
   auto Tick(Instant aNow) -> void;
   /// When the next report is due, if any.
   [[nodiscard]] auto NextWake() const -> std::optional<Instant>;
--- a/src/process/placement/dispatcher.cpp
+++ b/src/process/placement/dispatcher.cpp
@@ -36,6 +36,7 @@
 {
   if (targetsVersion_ != directory_->Version()) {
     targets_.clear();
+    UpdateThroughput();
     loads_.RemoveUnless([this](TargetId aTarget) {
       return directory_->Find(aTarget) != nullptr;
     });
@@ -51,12 +52,87 @@
     auto& load = loads_.At(listed->id_);
     load.SetPrefillEstimator(&estimator);
     targets.push_back({ listed, &load });
+    const auto* service = ColdStartServiceOf(listed->id_);
+    const auto coldLeft = service == nullptr
+                            ? Duration(0)
+                            : listed->coldLeft_.value_or(service->coldStart_);
+    if (coldLeft > 0us) {
+      coldTargets_.MarkColdUntil(listed->id_, listed->registeredAt_ + coldLeft);
+    }
   }
   estimator.SetInitialRate(table_->TokensPerSecond(),
-                           static_cast<int>(targets.size()));
+                           directory_->RegisteredCount(aService));
   return targets;
 }
 
+auto Dispatcher::UpdateThroughput() -> void
+{
+  int registered = 0;
+  int usable = 0;
+  for (const auto& entry : table_->Services()) {
+    if (entry.second.isEngine_) {
+      registered += directory_->RegisteredCount(entry.first);
+      usable += static_cast<int>(directory_->Usable(entry.first).size());
+    }
+  }
+  const double fraction =
+    registered > 0 ? static_cast<double>(usable) / registered : 1.0;
+  shares_.SetTokensPerSecond(table_->TokensPerSecond() * fraction);
+}
+
+auto Dispatcher::ColdStartServiceOf(TargetId aTarget) const
+  -> const RoutedService*
+{
+  const auto* target = directory_->Find(aTarget);
+  const auto* service =
+    target == nullptr ? nullptr : table_->FindService(target->service_);
+  return service != nullptr && service->coldStart_ > 0us &&
+             service->coldRequestsPerSecond_ > 0
+           ? service
+           : nullptr;
+}
+
+auto Dispatcher::LongestWarmUp() const -> Duration
+{
+  Duration longest{};
+  for (const auto& entry : table_->Services()) {
+    if (entry.second.coldRequestsPerSecond_ > 0) {
+      longest = std::max(longest, entry.second.coldStart_);
+    }
+  }
+  return longest;
+}
+
+auto Dispatcher::HoldIfLimited(TargetId aTarget,
+                               const RoutedService& aService,
+                               Instant aNow) -> void
+{
+  const auto allowed = coldLimiter_.NextAllowed(
+    aTarget, MaxColdRequests(coldLimits_, aService.coldRequestsPerSecond_),
+    aNow);
+  const auto until = allowed.value_or(aNow + ColdStartLimiter::kWindow);
+  auto& load = loads_.At(aTarget);
+  coldHolds_ += load.UnavailableUntil() <= aNow && until > aNow ? 1 : 0;
+  load.SetHeldUntil(until);
+}
+
+auto Dispatcher::HoldColdTargets(const RoutedService& aService, Instant aNow)
+  -> void
+{
+  if (aService.coldStart_ <= 0us || aService.coldRequestsPerSecond_ <= 0) {
+    return;
+  }
+  const bool isUninformed = coldTargets_.IsUninformed(aNow);
+  for (const auto& target : TargetsOf(aService.id_)) {
+    const auto id = target.listed_->id_;
+    if (isUninformed || coldTargets_.IsCold(id, aNow)) {
+      HoldIfLimited(id, aService, aNow);
+    } else {
+      target.load_->SetHeldUntil({});
+    }
+  }
+}
+
 auto Dispatcher::MaxOnTimeWait(const WorkItem& aItem, Instant aNow)
   -> std::optional<Duration>
 {
@@ -119,6 +195,7 @@
     return false;
   }
   const auto& targets = TargetsOf(aItem.service_);
+  HoldColdTargets(*service, aNow);
   const auto standing = StandingOf(aItem, *service, aNow);
   const auto limits = LimitsFor(aItem, *service, standing, aNow);
   const auto candidate =
@@ -169,6 +246,10 @@
       ? 0
       : load.Total().prefillTokens_ + aCandidate.addedLoad_.prefillTokens_;
   load.Add(run.addedLoad_);
+  if (aService.coldStart_ > 0us) {
+    coldLimiter_.OnPlaced(run.target_, aNow);
+    coldPlacements_ += IsCold(run.target_, aNow) ? 1 : 0;
+  }
   if (aService.isEngine_) {
     for (const auto& part : aItem.parts_) {
       load.OnPartSent(part.id_, aNow);
@@ -191,7 +272,7 @@
   const auto& targets = TargetsOf(aService);
   Duration soonest = targets.empty() ? Duration(0) : Duration::max();
   for (const auto& target : targets) {
-    const auto left = target.load_->PausedUntil() - aNow;
+    const auto left = target.load_->UnavailableUntil() - aNow;
     soonest = std::min(soonest, std::max<Duration>(left, 0us));
   }
   return soonest;
@@ -292,12 +373,14 @@
 Dispatcher::Dispatcher(TargetDirectory* aDirectory,
                        ZoneId aHome,
                        std::uint32_t aSeed,
-                       const ForwardingPolicy& aPolicy)
+                       const ForwardingPolicy& aPolicy,
+                       RouterId aSelf)
   : directory_(aDirectory)
   , policy_(aPolicy)
   , targetSelector_(aHome, aPolicy)
   , table_(RouteTableBuilder(0).Build())
   , random_(aSeed)
+  , coldLimiter_(aSelf)
 {
 }
 
@@ -310,7 +393,7 @@
 {
   table_ = std::move(aTable);
   targets_.clear();
-  shares_.SetTokensPerSecond(table_->TokensPerSecond());
+  UpdateThroughput();
 }
 
 auto Dispatcher::Submit(WorkItem aItem, Instant aNow) -> void
@@ -373,6 +456,10 @@
   load.Remove({ 0, run.addedLoad_.prefillTokens_, 0 });
   LearnPrefillSpeed(run, aNow);
   load.OnSuccess();
+  if (const auto* service = ColdStartServiceOf(run.target_)) {
+    coldTargets_.OnSuccess(run.target_, run.started_, service->coldStart_,
+                           aNow);
+  }
   for (const auto id : run.parts_) {
     if (policy_.IsEnabled(Mechanism::kCacheReports) &&
         load.OnPartCached(id, true, aNow) &&
@@ -455,6 +542,50 @@
   loadChanged_ = true;
 }
 
+auto Dispatcher::ColdTargetList(Instant aNow) const
+  -> std::optional<wire::ColdTargetList>
+{
+  if (LongestWarmUp() <= 0us) {
+    return std::nullopt;
+  }
+  return coldTargets_.List(aNow, [this](TargetId aTarget) {
+    const auto* service = ColdStartServiceOf(aTarget);
+    return service == nullptr ? Duration(0) : service->coldStart_;
+  });
+}
+
+auto Dispatcher::OnPeerColdTargets(const wire::ColdTargetList& aList,
+                                   Instant aNow) -> void
+{
+  coldTargets_.OnPeerList(aList, LongestWarmUp(), aNow);
+}
+
+auto Dispatcher::SetColdStartLimits(const ColdStartLimits& aLimits) -> void
+{
+  coldLimits_ = aLimits;
+}
+
+auto Dispatcher::SetColdPlacers(std::vector<RouterId> aPlacers) -> void
+{
+  coldLimiter_.SetPlacers(std::move(aPlacers));
+}
+
+auto Dispatcher::OnTargetLost(TargetId aTarget, Instant aNow) -> void
+{
+  if (ColdStartServiceOf(aTarget) != nullptr) {
+    coldTargets_.OnTargetLost(aTarget, aNow);
+  }
+}
+
+auto Dispatcher::OnZoneReturned(ZoneId aZone, Instant aNow) -> void
+{
+  for (const auto* target : directory_->InZone(aZone)) {
+    if (const auto* service = ColdStartServiceOf(target->id_)) {
+      coldTargets_.MarkColdUntil(target->id_, aNow + service->coldStart_);
+    }
+  }
+}
+
 auto Dispatcher::PauseTarget(TargetId aTarget, Instant aUntil) -> void
 {
   if (directory_->Find(aTarget) != nullptr) {
@@ -559,6 +690,37 @@
     capacityMayHaveFreed_ = true;
   }
   loads_.Tick(aNow);
+  if (const auto warmUp = LongestWarmUp(); warmUp > 0us) {
+    coldTargets_.Start(warmUp, aNow);
+    coldTargets_.DropWarm(aNow);
+    coldLimiter_.Tick(aNow);
+  }
+}
+
+auto Dispatcher::ColdTargetCount(Instant aNow) const -> std::size_t
+{
+  return coldTargets_.Count(aNow);
+}
+
+auto Dispatcher::IsCold(TargetId aTarget, Instant aNow) const -> bool
+{
+  return HasColdStart(aTarget) && (coldTargets_.IsUninformed(aNow) ||
+                                   coldTargets_.IsCold(aTarget, aNow));
+}
+
+auto Dispatcher::HasColdStart(TargetId aTarget) const -> bool
+{
+  return ColdStartServiceOf(aTarget) != nullptr;
+}
+
+auto Dispatcher::ColdPlacementCount() const -> std::int64_t
+{
+  return coldPlacements_;
+}
+
+auto Dispatcher::ColdHoldCount() const -> std::int64_t
+{
+  return coldHolds_;
 }
 
 auto Dispatcher::WaitingCount() const -> std::size_t
--- a/src/process/placement/dispatcher.h
+++ b/src/process/placement/dispatcher.h
@@ -2,11 +2,13 @@
 #define BURDOCKRING_PROCESS_PLACEMENT_DISPATCHER_H
 
 #include "process/admission/account_shares.h"
+#include "process/placement/cold_targets.h"
 #include "process/placement/report_delta.h"
 #include "process/placement/target_directory.h"
 #include "process/placement/target_load.h"
 #include "process/placement/target_selector.h"
 #include "process/quarantine/part_ids.h"
+#include "process/rates/cold_start_limiter.h"
 
 #include <cstdint>
 #include <functional>
@@ -26,7 +28,7 @@
   kNoFreeSlot,
   kExpectedLate,
   kOverShare,
-  /// All targets asked for no requests for some time.
+  /// All targets asked for no requests for some time, or are cold.
   kTargetsPaused,
 };
 
@@ -177,6 +179,13 @@
   /// rejections by this router and by its peers.
   Instant ownPressureUntil_{};
   Instant peerPressureUntil_{};
+  ColdTargets coldTargets_;
+  ColdStartLimiter coldLimiter_;
+  ColdStartLimits coldLimits_;
+  /// Placements on cold targets, and selections that left out a cold target as
+  /// its rate limit was used.
+  std::int64_t coldPlacements_ = 0;
+  std::int64_t coldHolds_ = 0;
   std::int64_t targetsVersion_ = 0;
   std::map<ServiceId, std::vector<UsableTarget>> targets_;
   /// Whether capacity may have become free since the queue was last scanned.
@@ -187,6 +196,21 @@
   std::int64_t decisionCount_ = 0;
 
   auto TargetsOf(ServiceId aService) -> const std::vector<UsableTarget>&;
+  /// Reduces the configured throughput to the part of the engines that are in
+  /// no drained zone.
+  auto UpdateThroughput() -> void;
+  /// Service of a target that counts as cold after a start; null if it doesn't.
+  [[nodiscard]] auto ColdStartServiceOf(TargetId aTarget) const
+    -> const RoutedService*;
+  /// Longest time that a target of any service stays cold after a start; zero
+  /// if none does.
+  [[nodiscard]] auto LongestWarmUp() const -> Duration;
+  /// Holds back the targets of a service that are cold and whose rate limit is
+  /// used.
+  auto HoldColdTargets(const RoutedService& aService, Instant aNow) -> void;
+  auto HoldIfLimited(TargetId aTarget,
+                     const RoutedService& aService,
+                     Instant aNow) -> void;
   /// Sorts by the tokens charged to the account, least first.
   auto SortWaiting(Instant aNow) -> void;
   /// Longest remaining wait for a first event on time; empty if even an idle
@@ -241,7 +265,8 @@
   Dispatcher(TargetDirectory* aDirectory,
              ZoneId aHome,
              std::uint32_t aSeed,
-             const ForwardingPolicy& aPolicy = {});
+             const ForwardingPolicy& aPolicy = {},
+             RouterId aSelf = {});
 
   /// Sets the function that is called when the answer of a run is whole.
   auto SetWholeHandler(WholeHandler aHandler) -> void;
@@ -261,6 +286,18 @@
                 TargetId aTarget,
                 const LoadAmounts& aAdds,
                 bool aHasFirstEvent) -> void;
+  /// The cold targets for peers; empty if no service has any.
+  [[nodiscard]] auto ColdTargetList(Instant aNow) const
+    -> std::optional<wire::ColdTargetList>;
+  auto OnPeerColdTargets(const wire::ColdTargetList& aList, Instant aNow)
+    -> void;
+  auto SetColdStartLimits(const ColdStartLimits& aLimits) -> void;
+  /// The routers that may place requests on cold targets.
+  auto SetColdPlacers(std::vector<RouterId> aPlacers) -> void;
+  /// An attempt failed in a way that a crash or restart of the target causes.
+  auto OnTargetLost(TargetId aTarget, Instant aNow) -> void;
+  /// The drain of a zone has ended: its targets may have restarted meanwhile.
+  auto OnZoneReturned(ZoneId aZone, Instant aNow) -> void;
   /// Sends no requests to the target until aUntil.
   auto PauseTarget(TargetId aTarget, Instant aUntil) -> void;
   /// Retries waiting requests and rejects those whose wait has expired.
@@ -282,6 +319,12 @@
   [[nodiscard]] auto Loads() const -> const TargetLoadTable&;
   [[nodiscard]] auto EngineEstimates() const -> std::vector<EngineEstimate>;
   [[nodiscard]] auto ShareLevels() const -> const AccountShares::Levels&;
+  [[nodiscard]] auto ColdTargetCount(Instant aNow) const -> std::size_t;
+  [[nodiscard]] auto IsCold(TargetId aTarget, Instant aNow) const -> bool;
+  /// Whether the target counts as cold after a start.
+  [[nodiscard]] auto HasColdStart(TargetId aTarget) const -> bool;
+  [[nodiscard]] auto ColdPlacementCount() const -> std::int64_t;
+  [[nodiscard]] auto ColdHoldCount() const -> std::int64_t;
   /// Requests started or rejected since the process started.
   [[nodiscard]] auto DecisionCount() const -> std::int64_t;
 };
--- a/src/process/placement/placement_client.cpp
+++ b/src/process/placement/placement_client.cpp
@@ -53,6 +53,7 @@
   pending.number_ = nextNumber_++;
   pending.lead_ = *lead;
   pending.answerDeadline_ = aNow + kAnswerTimeout;
+  pending.permitDeadline_ = pending.answerDeadline_;
   pending.triedLeads_ = std::move(aTriedLeads);
   pending.triedLeads_.push_back(*lead);
   outbox_[*lead].asks.push_back(EncodeAsk(aItem, pending.number_, aNow));
@@ -77,6 +78,15 @@
   return pending;
 }
 
+auto PlacementClient::IsOutdated(const PendingRequest& aPending,
+                                 const DispatchDecision& aDecision,
+                                 Instant aNow) const -> bool
+{
+  const auto* start = std::get_if<StartDecision>(&aDecision);
+  return start != nullptr && aNow > aPending.permitDeadline_ &&
+         dispatcher_->HasColdStart(start->target_);
+}
+
 auto PlacementClient::OnAnswer(RouterId aFrom,
                                const wire::PlaceAnswer& aAnswer,
                                Instant aNow) -> void
@@ -104,11 +114,17 @@
     return;
   }
   auto decision = DecodeAnswer(aAnswer, number->second);
+  if (decision && IsOutdated(pending, *decision, aNow)) {
+    auto outdated = CancelPending(number->second);
+    Place(std::move(outdated->item_), {}, aNow);
+    return;
+  }
   if (!decision) {
     pending.isQueuedByLead_ = true;
     pending.answerDeadline_ =
       std::max(dispatcher_->WaitDeadline(pending.item_), aNow) +
       kDecisionMargin;
+    pending.permitDeadline_ = pending.answerDeadline_;
     return;
   }
   if (const auto* start = std::get_if<StartDecision>(&*decision)) {
@@ -268,10 +284,25 @@
     return;
   }
   const auto& run = found->second;
-  outbox_[run.lead_].notes.push_back(MakeOutcomeNote(run.number_, aOutcome));
+  auto note = MakeOutcomeNote(run.number_, aOutcome);
+  if (run.isTargetLost_) {
+    note.__set_mayHaveRestarted(true);
+  }
+  outbox_[run.lead_].notes.push_back(note);
   runs_.erase(found);
 }
 
+auto PlacementClient::OnTargetLost(RequestId aRequest,
+                                   TargetId aTarget,
+                                   Instant aNow) -> void
+{
+  dispatcher_->OnTargetLost(aTarget, aNow);
+  const auto found = runs_.find(aRequest);
+  if (found != runs_.end()) {
+    found->second.isTargetLost_ = true;
+  }
+}
+
 auto PlacementClient::OnTargetPause(RequestId aRequest, Duration aPause) -> void
 {
   const auto found = runs_.find(aRequest);
--- a/src/process/placement/placement_client.h
+++ b/src/process/placement/placement_client.h
@@ -59,6 +59,9 @@
     WorkItem item_;
     RouterId lead_;
     Instant answerDeadline_{};
+    /// Until when a placement on a target with a rate limit may be used. Unlike
+    /// answerDeadline_, a delay of this router's own loop does not extend it.
+    Instant permitDeadline_{};
     /// Whether the lead has confirmed that it queued the request.
     bool isQueuedByLead_ = false;
     std::vector<RouterId> triedLeads_;
@@ -71,6 +74,8 @@
     TargetId target_;
     LoadAmounts addedLoad_;
     bool hasFirstEvent_ = false;
+    /// Whether the target may have restarted during the run.
+    bool isTargetLost_ = false;
   };
 
   struct LeadState
@@ -105,6 +110,11 @@
   auto CancelPending(RequestId aRequest) -> std::optional<PendingRequest>;
   auto OnAnswer(RouterId aFrom, const wire::PlaceAnswer& aAnswer, Instant aNow)
     -> void;
+  /// Whether the lead counted the placement in a window of the target's rate
+  /// limit that may have passed.
+  [[nodiscard]] auto IsOutdated(const PendingRequest& aPending,
+                                const DispatchDecision& aDecision,
+                                Instant aNow) const -> bool;
   auto HandleAnswerTimeouts(Instant aNow) -> void;
   /// Assigns the runs of leads that are no longer live to another lead.
   auto ReassignRuns(Instant aNow) -> void;
@@ -125,6 +135,9 @@
   auto OnRunEnd(RequestId aRequest, RunOutcome aOutcome, Instant aNow) -> void;
   /// The run's target asked for no requests for the duration aPause.
   auto OnTargetPause(RequestId aRequest, Duration aPause) -> void;
+  /// An attempt failed in a way that a crash or restart of its target causes.
+  /// Call before OnRunEnd.
+  auto OnTargetLost(RequestId aRequest, TargetId aTarget, Instant aNow) -> void;
   /// Handles a message from a lead.
   auto OnMessage(RouterId aFrom, const wire::Placement& aMessage, Instant aNow)
     -> void;
--- a/src/process/placement/placement_server.cpp
+++ b/src/process/placement/placement_server.cpp
@@ -47,6 +47,9 @@
     dispatcher_->PauseTarget(remoteRequests_.at(id).target_,
                              aNow + Duration(aNote.restMicros));
   }
+  if (aNote.__isset.mayHaveRestarted && aNote.mayHaveRestarted) {
+    dispatcher_->OnTargetLost(remoteRequests_.at(id).target_, aNow);
+  }
   if (const auto end = DecodeOutcome(aNote)) {
     EndRemoteRequest(id, *end, aNow);
   } else {
--- a/src/process/placement/placement_state_log.cpp
+++ b/src/process/placement/placement_state_log.cpp
@@ -14,6 +14,19 @@
   return std::isfinite(aLevel) ? static_cast<std::int64_t>(aLevel) : kNoLevel;
 }
 
+auto WriteColdTargets(const Dispatcher& aDispatcher,
+                      EventLog* aLog,
+                      Instant aNow) -> void
+{
+  const auto count = aDispatcher.ColdTargetCount(aNow);
+  if (count > 0) {
+    aLog->Write("cold_targets",
+                { { "targets", static_cast<std::int64_t>(count) },
+                  { "placed_so_far", aDispatcher.ColdPlacementCount() },
+                  { "held_back_so_far", aDispatcher.ColdHoldCount() } });
+  }
+}
+
 } // namespace
 
 auto PlacementStateLog::WriteShareLevels(std::int64_t aDecisions) -> void
@@ -60,6 +73,7 @@
   }
   WriteShareLevels(decisions - lastDecisionCount_);
   WriteEnginePace();
+  WriteColdTargets(*dispatcher_, log_, aNow);
   lastWriteTime_ = aNow;
   lastDecisionCount_ = decisions;
 }
--- a/src/process/placement/target_directory.cpp
+++ b/src/process/placement/target_directory.cpp
@@ -1,5 +1,6 @@
 #include "process/placement/target_directory.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -51,6 +52,9 @@
   const auto inserted = entries_.try_emplace(aKey);
   auto& entry = inserted.first->second;
   const bool startsLeaving = aTarget.leaving_ && !entry.target_.leaving_;
+  if (aTarget.coldLeft_.value_or(0us) > 0us) {
+    ++version_;
+  }
   if (inserted.second) {
     RecordChange(aTarget, aTarget.leaving_ ? "leaving" : "added");
   } else if (startsLeaving) {
@@ -154,6 +158,18 @@
   }
 }
 
+auto TargetDirectory::SetZoneDrained(ZoneId aZone, bool aDrained) -> void
+{
+  const bool isChange = aDrained ? drainedZones_.insert(aZone).second
+                                 : drainedZones_.erase(aZone) > 0;
+  version_ += isChange ? 1 : 0;
+}
+
+auto TargetDirectory::IsZoneDrained(ZoneId aZone) const -> bool
+{
+  return drainedZones_.contains(aZone);
+}
+
 auto TargetDirectory::SetReachable(bool aReachable, Instant aNow) -> void
 {
   if (!aReachable) {
@@ -194,13 +210,35 @@
   std::vector<const RegisteredTarget*> usable;
   for (const auto& entry : entries_) {
     const auto& target = entry.second.target_;
-    if (target.service_ == aService && !target.leaving_) {
+    if (target.service_ == aService && !target.leaving_ &&
+        !IsZoneDrained(target.zone_)) {
       usable.push_back(&target);
     }
   }
   return usable;
 }
 
+auto TargetDirectory::RegisteredCount(ServiceId aService) const -> int
+{
+  return static_cast<int>(
+    std::count_if(entries_.begin(), entries_.end(), [&](const auto& aEntry) {
+      const auto& target = aEntry.second.target_;
+      return target.service_ == aService && !target.leaving_;
+    }));
+}
+
+auto TargetDirectory::InZone(ZoneId aZone) const
+  -> std::vector<const RegisteredTarget*>
+{
+  std::vector<const RegisteredTarget*> targets;
+  for (const auto& entry : entries_) {
+    if (entry.second.target_.zone_ == aZone) {
+      targets.push_back(&entry.second.target_);
+    }
+  }
+  return targets;
+}
+
 auto TargetDirectory::Size() const -> std::size_t
 {
   return entries_.size();
--- a/src/process/placement/target_directory.h
+++ b/src/process/placement/target_directory.h
@@ -27,6 +27,11 @@
   std::uint16_t port_ = 0;
   int slots_ = 1;
   bool leaving_ = false;
+  /// How much longer the target was cold when it wrote the registration; unset
+  /// if it did not say.
+  std::optional<Duration> coldLeft_;
+  /// When this router received that.
+  Instant registeredAt_{};
 };
 
 /// A change to the targets that requests may be sent to.
@@ -75,6 +80,8 @@
   /// Whether the next snapshot may be of an older copy of the store.
   bool nextSnapshotMayBeStale_ = false;
   std::vector<DirectoryChange> changes_;
+  /// Zones whose targets get no requests.
+  std::set<ZoneId> drainedZones_;
   std::optional<Instant> unreachableSince_;
   std::optional<Instant> reachableSince_;
   std::int64_t version_ = 1;
@@ -107,6 +114,9 @@
   /// A peer knew that the target was gone before the store was restored. Drops
   /// the target if it is known only from a snapshot.
   auto MarkGone(TargetId aTarget) -> void;
+  /// Begins or ends the drain of a zone.
+  auto SetZoneDrained(ZoneId aZone, bool aDrained) -> void;
+  [[nodiscard]] auto IsZoneDrained(ZoneId aZone) const -> bool;
   /// The list has become unreachable, or reachable again.
   auto SetReachable(bool aReachable, Instant aNow) -> void;
   /// Drops expired entries whose grace period has ended.
@@ -117,6 +127,12 @@
   /// Targets of a service that requests may be sent to, ordered by key.
   [[nodiscard]] auto Usable(ServiceId aService) const
     -> std::vector<const RegisteredTarget*>;
+  /// Targets of a service that are not leaving, including those of drained
+  /// zones.
+  [[nodiscard]] auto RegisteredCount(ServiceId aService) const -> int;
+  /// Targets of a zone, including those that are leaving.
+  [[nodiscard]] auto InZone(ZoneId aZone) const
+    -> std::vector<const RegisteredTarget*>;
   [[nodiscard]] auto Size() const -> std::size_t;
   [[nodiscard]] auto IsReachable() const -> bool;
   /// Changes whenever the result of Usable() may change.
--- a/src/process/placement/target_load.cpp
+++ b/src/process/placement/target_load.cpp
@@ -161,6 +161,16 @@
   return pausedUntil_;
 }
 
+auto TargetLoad::SetHeldUntil(Instant aUntil) -> void
+{
+  heldUntil_ = aUntil;
+}
+
+auto TargetLoad::UnavailableUntil() const -> Instant
+{
+  return std::max(pausedUntil_, heldUntil_);
+}
+
 auto TargetLoad::Local() const -> const LoadAmounts&
 {
   return local_;
--- a/src/process/placement/target_load.h
+++ b/src/process/placement/target_load.h
@@ -71,6 +71,7 @@
   int failures_ = 0;
   Instant avoidedUntil_{};
   Instant pausedUntil_{};
+  Instant heldUntil_{};
 
   auto DropExpiredParts(Instant aNow) -> void;
 
@@ -110,6 +111,12 @@
   /// that failed, it is not tried sooner.
   auto PauseUntil(Instant aUntil) -> void;
   [[nodiscard]] auto PausedUntil() const -> Instant;
+  /// Called when this router may place no request on the target until aUntil,
+  /// as the target is cold and the router's share of its rate limit is used.
+  auto SetHeldUntil(Instant aUntil) -> void;
+  /// When this router may place a request here, as far as the target's pause
+  /// and its rate limit tell.
+  [[nodiscard]] auto UnavailableUntil() const -> Instant;
 
   [[nodiscard]] auto Local() const -> const LoadAmounts&;
   [[nodiscard]] auto Total() const -> LoadAmounts;
--- a/src/process/placement/target_selector.cpp
+++ b/src/process/placement/target_selector.cpp
@@ -99,7 +99,7 @@
   for (std::size_t i = 0; i < aTargets.size(); ++i) {
     const auto& target = aTargets[i];
     if (WasTried(aItem, target.listed_->id_) ||
-        target.load_->PausedUntil() > aNow) {
+        target.load_->UnavailableUntil() > aNow) {
       continue;
     }
     if (!target.load_->IsAvoided(aNow)) {
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -67,6 +67,10 @@
   /// Time to copy one cached token from another engine, in milliseconds; zero
   /// if the engine does not support copying.
   double copyMsPerToken_ = 0;
+  /// How long a target stays cold after it starts; zero if it does not.
+  Duration coldStart_{};
+  /// Requests per second that a cold target tolerates.
+  double coldRequestsPerSecond_ = 0;
   /// Shortest latency objective of its stream routes; zero if there is none.
   Duration minLatencyObjective_{};
 };
--- a/src/wire/gen/peer_types.cpp
+++ b/src/wire/gen/peer_types.cpp
@@ -3836,6 +3836,250 @@
 }
 
 
+ColdTargetRow::~ColdTargetRow() noexcept {
+}
+
+
+void ColdTargetRow::__set_target(const int32_t val) {
+  this->target = val;
+}
+
+void ColdTargetRow::__set_leftMicros(const int64_t val) {
+  this->leftMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const ColdTargetRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ColdTargetRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leftMicros);
+          this->__isset.leftMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ColdTargetRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ColdTargetRow");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leftMicros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->leftMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ColdTargetRow &a, ColdTargetRow &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.leftMicros, b.leftMicros);
+  swap(a.__isset, b.__isset);
+}
+
+ColdTargetRow::ColdTargetRow(const ColdTargetRow& other124) noexcept {
+  target = other124.target;
+  leftMicros = other124.leftMicros;
+  __isset = other124.__isset;
+}
+ColdTargetRow& ColdTargetRow::operator=(const ColdTargetRow& other125) noexcept {
+  target = other125.target;
+  leftMicros = other125.leftMicros;
+  __isset = other125.__isset;
+  return *this;
+}
+void ColdTargetRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ColdTargetRow(";
+  out << "target=" << to_string(target);
+  out << ", " << "leftMicros=" << to_string(leftMicros);
+  out << ")";
+}
+
+
+ColdTargetList::~ColdTargetList() noexcept {
+}
+
+
+void ColdTargetList::__set_complete(const bool val) {
+  this->complete = val;
+}
+
+void ColdTargetList::__set_targets(const std::vector<ColdTargetRow> & val) {
+  this->targets = val;
+}
+std::ostream& operator<<(std::ostream& out, const ColdTargetList& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ColdTargetList::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          this->__isset.complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->targets.clear();
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _etype129;
+            xfer += iprot->readListBegin(_etype129, _size126);
+            this->targets.resize(_size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
+            {
+              xfer += this->targets[_i130].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ColdTargetList::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ColdTargetList");
+
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->complete);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
+    std::vector<ColdTargetRow> ::const_iterator _iter131;
+    for (_iter131 = this->targets.begin(); _iter131 != this->targets.end(); ++_iter131)
+    {
+      xfer += (*_iter131).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ColdTargetList &a, ColdTargetList &b) {
+  using ::std::swap;
+  swap(a.complete, b.complete);
+  swap(a.targets, b.targets);
+  swap(a.__isset, b.__isset);
+}
+
+ColdTargetList::ColdTargetList(const ColdTargetList& other132) {
+  complete = other132.complete;
+  targets = other132.targets;
+  __isset = other132.__isset;
+}
+ColdTargetList& ColdTargetList::operator=(const ColdTargetList& other133) {
+  complete = other133.complete;
+  targets = other133.targets;
+  __isset = other133.__isset;
+  return *this;
+}
+void ColdTargetList::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ColdTargetList(";
+  out << "complete=" << to_string(complete);
+  out << ", " << "targets=" << to_string(targets);
+  out << ")";
+}
+
+
 LoadReport::~LoadReport() noexcept {
 }
 
@@ -3897,6 +4141,11 @@
   this->drains = val;
 __isset.drains = true;
 }
+
+void LoadReport::__set_cold(const ColdTargetList& val) {
+  this->cold = val;
+__isset.cold = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
 {
   obj.printTo(out);
@@ -3929,14 +4178,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->targets.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->targets.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->targets[_i128].read(iprot);
+              xfer += this->targets[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3949,14 +4198,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accounts.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->accounts.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->accounts.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              xfer += this->accounts[_i133].read(iprot);
+              xfer += this->accounts[_i143].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4009,14 +4258,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reads.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->reads.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->reads.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += this->reads[_i138].read(iprot);
+              xfer += this->reads[_i148].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4037,14 +4286,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->leaving.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _etype152;
+            xfer += iprot->readListBegin(_etype152, _size149);
+            this->leaving.resize(_size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
             {
-              xfer += iprot->readI32(this->leaving[_i143]);
+              xfer += iprot->readI32(this->leaving[_i153]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4057,14 +4306,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gone.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->gone.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->gone.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += iprot->readI32(this->gone[_i148]);
+              xfer += iprot->readI32(this->gone[_i158]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4097,6 +4346,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->cold.read(iprot);
+          this->__isset.cold = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4117,10 +4374,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<TargetUse> ::const_iterator _iter149;
-    for (_iter149 = this->targets.begin(); _iter149 != this->targets.end(); ++_iter149)
+    std::vector<TargetUse> ::const_iterator _iter159;
+    for (_iter159 = this->targets.begin(); _iter159 != this->targets.end(); ++_iter159)
     {
-      xfer += (*_iter149).write(oprot);
+      xfer += (*_iter159).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4129,10 +4386,10 @@
   xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<AccountUse> ::const_iterator _iter150;
-    for (_iter150 = this->accounts.begin(); _iter150 != this->accounts.end(); ++_iter150)
+    std::vector<AccountUse> ::const_iterator _iter160;
+    for (_iter160 = this->accounts.begin(); _iter160 != this->accounts.end(); ++_iter160)
     {
-      xfer += (*_iter150).write(oprot);
+      xfer += (*_iter160).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4161,10 +4418,10 @@
   xfer += oprot->writeFieldBegin("reads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reads.size()));
-    std::vector<PartRead> ::const_iterator _iter151;
-    for (_iter151 = this->reads.begin(); _iter151 != this->reads.end(); ++_iter151)
+    std::vector<PartRead> ::const_iterator _iter161;
+    for (_iter161 = this->reads.begin(); _iter161 != this->reads.end(); ++_iter161)
     {
-      xfer += (*_iter151).write(oprot);
+      xfer += (*_iter161).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4177,10 +4434,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<int32_t> ::const_iterator _iter152;
-    for (_iter152 = this->leaving.begin(); _iter152 != this->leaving.end(); ++_iter152)
+    std::vector<int32_t> ::const_iterator _iter162;
+    for (_iter162 = this->leaving.begin(); _iter162 != this->leaving.end(); ++_iter162)
     {
-      xfer += oprot->writeI32((*_iter152));
+      xfer += oprot->writeI32((*_iter162));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4189,10 +4446,10 @@
   xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->gone.size()));
-    std::vector<int32_t> ::const_iterator _iter153;
-    for (_iter153 = this->gone.begin(); _iter153 != this->gone.end(); ++_iter153)
+    std::vector<int32_t> ::const_iterator _iter163;
+    for (_iter163 = this->gone.begin(); _iter163 != this->gone.end(); ++_iter163)
     {
-      xfer += oprot->writeI32((*_iter153));
+      xfer += oprot->writeI32((*_iter163));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4212,6 +4469,11 @@
     xfer += this->drains.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.cold) {
+    xfer += oprot->writeFieldBegin("cold", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->cold.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4233,42 +4495,45 @@
   swap(a.echoIncarnation, b.echoIncarnation);
   swap(a.crashes, b.crashes);
   swap(a.drains, b.drains);
+  swap(a.cold, b.cold);
   swap(a.__isset, b.__isset);
 }
 
-LoadReport::LoadReport(const LoadReport& other154) {
-  targets = other154.targets;
-  accounts = other154.accounts;
-  configVersion = other154.configVersion;
-  configAgeMicros = other154.configAgeMicros;
-  stampMicros = other154.stampMicros;
-  echoMicros = other154.echoMicros;
-  pressed = other154.pressed;
-  reads = other154.reads;
-  partial = other154.partial;
-  leaving = other154.leaving;
-  gone = other154.gone;
-  echoIncarnation = other154.echoIncarnation;
-  crashes = other154.crashes;
-  drains = other154.drains;
-  __isset = other154.__isset;
-}
-LoadReport& LoadReport::operator=(const LoadReport& other155) {
-  targets = other155.targets;
-  accounts = other155.accounts;
-  configVersion = other155.configVersion;
-  configAgeMicros = other155.configAgeMicros;
-  stampMicros = other155.stampMicros;
-  echoMicros = other155.echoMicros;
-  pressed = other155.pressed;
-  reads = other155.reads;
-  partial = other155.partial;
-  leaving = other155.leaving;
-  gone = other155.gone;
-  echoIncarnation = other155.echoIncarnation;
-  crashes = other155.crashes;
-  drains = other155.drains;
-  __isset = other155.__isset;
+LoadReport::LoadReport(const LoadReport& other164) {
+  targets = other164.targets;
+  accounts = other164.accounts;
+  configVersion = other164.configVersion;
+  configAgeMicros = other164.configAgeMicros;
+  stampMicros = other164.stampMicros;
+  echoMicros = other164.echoMicros;
+  pressed = other164.pressed;
+  reads = other164.reads;
+  partial = other164.partial;
+  leaving = other164.leaving;
+  gone = other164.gone;
+  echoIncarnation = other164.echoIncarnation;
+  crashes = other164.crashes;
+  drains = other164.drains;
+  cold = other164.cold;
+  __isset = other164.__isset;
+}
+LoadReport& LoadReport::operator=(const LoadReport& other165) {
+  targets = other165.targets;
+  accounts = other165.accounts;
+  configVersion = other165.configVersion;
+  configAgeMicros = other165.configAgeMicros;
+  stampMicros = other165.stampMicros;
+  echoMicros = other165.echoMicros;
+  pressed = other165.pressed;
+  reads = other165.reads;
+  partial = other165.partial;
+  leaving = other165.leaving;
+  gone = other165.gone;
+  echoIncarnation = other165.echoIncarnation;
+  crashes = other165.crashes;
+  drains = other165.drains;
+  cold = other165.cold;
+  __isset = other165.__isset;
   return *this;
 }
 void LoadReport::printTo(std::ostream& out) const {
@@ -4288,6 +4553,7 @@
   out << ", " << "echoIncarnation=" << to_string(echoIncarnation);
   out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ", " << "drains="; (__isset.drains ? (out << to_string(drains)) : (out << "<null>"));
+  out << ", " << "cold="; (__isset.cold ? (out << to_string(cold)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4460,14 +4726,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->partTokens.clear();
-            uint32_t _size156;
-            ::apache::thrift::protocol::TType _etype159;
-            xfer += iprot->readListBegin(_etype159, _size156);
-            this->partTokens.resize(_size156);
-            uint32_t _i160;
-            for (_i160 = 0; _i160 < _size156; ++_i160)
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->partTokens.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
             {
-              xfer += iprot->readI32(this->partTokens[_i160]);
+              xfer += iprot->readI32(this->partTokens[_i170]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4480,14 +4746,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tried.clear();
-            uint32_t _size161;
-            ::apache::thrift::protocol::TType _etype164;
-            xfer += iprot->readListBegin(_etype164, _size161);
-            this->tried.resize(_size161);
-            uint32_t _i165;
-            for (_i165 = 0; _i165 < _size161; ++_i165)
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _etype174;
+            xfer += iprot->readListBegin(_etype174, _size171);
+            this->tried.resize(_size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
             {
-              xfer += iprot->readI32(this->tried[_i165]);
+              xfer += iprot->readI32(this->tried[_i175]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4564,10 +4830,10 @@
   xfer += oprot->writeFieldBegin("partTokens", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->partTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter166;
-    for (_iter166 = this->partTokens.begin(); _iter166 != this->partTokens.end(); ++_iter166)
+    std::vector<int32_t> ::const_iterator _iter176;
+    for (_iter176 = this->partTokens.begin(); _iter176 != this->partTokens.end(); ++_iter176)
     {
-      xfer += oprot->writeI32((*_iter166));
+      xfer += oprot->writeI32((*_iter176));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4576,10 +4842,10 @@
   xfer += oprot->writeFieldBegin("tried", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->tried.size()));
-    std::vector<int32_t> ::const_iterator _iter167;
-    for (_iter167 = this->tried.begin(); _iter167 != this->tried.end(); ++_iter167)
+    std::vector<int32_t> ::const_iterator _iter177;
+    for (_iter177 = this->tried.begin(); _iter177 != this->tried.end(); ++_iter177)
     {
-      xfer += oprot->writeI32((*_iter167));
+      xfer += oprot->writeI32((*_iter177));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4613,37 +4879,37 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAsk::PlaceAsk(const PlaceAsk& other168) {
-  request = other168.request;
-  serviceId = other168.serviceId;
-  account = other168.account;
-  aimMicros = other168.aimMicros;
-  waitedMicros = other168.waitedMicros;
-  patienceMicros = other168.patienceMicros;
-  goesOn = other168.goesOn;
-  promptTokens = other168.promptTokens;
-  outputTokens = other168.outputTokens;
-  parts = other168.parts;
-  partTokens = other168.partTokens;
-  tried = other168.tried;
-  maxGapMicros = other168.maxGapMicros;
-  __isset = other168.__isset;
-}
-PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other169) {
-  request = other169.request;
-  serviceId = other169.serviceId;
-  account = other169.account;
-  aimMicros = other169.aimMicros;
-  waitedMicros = other169.waitedMicros;
-  patienceMicros = other169.patienceMicros;
-  goesOn = other169.goesOn;
-  promptTokens = other169.promptTokens;
-  outputTokens = other169.outputTokens;
-  parts = other169.parts;
-  partTokens = other169.partTokens;
-  tried = other169.tried;
-  maxGapMicros = other169.maxGapMicros;
-  __isset = other169.__isset;
+PlaceAsk::PlaceAsk(const PlaceAsk& other178) {
+  request = other178.request;
+  serviceId = other178.serviceId;
+  account = other178.account;
+  aimMicros = other178.aimMicros;
+  waitedMicros = other178.waitedMicros;
+  patienceMicros = other178.patienceMicros;
+  goesOn = other178.goesOn;
+  promptTokens = other178.promptTokens;
+  outputTokens = other178.outputTokens;
+  parts = other178.parts;
+  partTokens = other178.partTokens;
+  tried = other178.tried;
+  maxGapMicros = other178.maxGapMicros;
+  __isset = other178.__isset;
+}
+PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other179) {
+  request = other179.request;
+  serviceId = other179.serviceId;
+  account = other179.account;
+  aimMicros = other179.aimMicros;
+  waitedMicros = other179.waitedMicros;
+  patienceMicros = other179.patienceMicros;
+  goesOn = other179.goesOn;
+  promptTokens = other179.promptTokens;
+  outputTokens = other179.outputTokens;
+  parts = other179.parts;
+  partTokens = other179.partTokens;
+  tried = other179.tried;
+  maxGapMicros = other179.maxGapMicros;
+  __isset = other179.__isset;
   return *this;
 }
 void PlaceAsk::printTo(std::ostream& out) const {
@@ -4894,31 +5160,31 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAnswer::PlaceAnswer(const PlaceAnswer& other170) noexcept {
-  request = other170.request;
-  outcome = other170.outcome;
-  target = other170.target;
-  copyFrom = other170.copyFrom;
-  expectedWaitMicros = other170.expectedWaitMicros;
-  reason = other170.reason;
-  retryAfterMicros = other170.retryAfterMicros;
-  prefillTokens = other170.prefillTokens;
-  memoryTokens = other170.memoryTokens;
-  standing = other170.standing;
-  __isset = other170.__isset;
-}
-PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other171) noexcept {
-  request = other171.request;
-  outcome = other171.outcome;
-  target = other171.target;
-  copyFrom = other171.copyFrom;
-  expectedWaitMicros = other171.expectedWaitMicros;
-  reason = other171.reason;
-  retryAfterMicros = other171.retryAfterMicros;
-  prefillTokens = other171.prefillTokens;
-  memoryTokens = other171.memoryTokens;
-  standing = other171.standing;
-  __isset = other171.__isset;
+PlaceAnswer::PlaceAnswer(const PlaceAnswer& other180) noexcept {
+  request = other180.request;
+  outcome = other180.outcome;
+  target = other180.target;
+  copyFrom = other180.copyFrom;
+  expectedWaitMicros = other180.expectedWaitMicros;
+  reason = other180.reason;
+  retryAfterMicros = other180.retryAfterMicros;
+  prefillTokens = other180.prefillTokens;
+  memoryTokens = other180.memoryTokens;
+  standing = other180.standing;
+  __isset = other180.__isset;
+}
+PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other181) noexcept {
+  request = other181.request;
+  outcome = other181.outcome;
+  target = other181.target;
+  copyFrom = other181.copyFrom;
+  expectedWaitMicros = other181.expectedWaitMicros;
+  reason = other181.reason;
+  retryAfterMicros = other181.retryAfterMicros;
+  prefillTokens = other181.prefillTokens;
+  memoryTokens = other181.memoryTokens;
+  standing = other181.standing;
+  __isset = other181.__isset;
   return *this;
 }
 void PlaceAnswer::printTo(std::ostream& out) const {
@@ -5066,19 +5332,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ReportedTargetLoad::ReportedTargetLoad(const ReportedTargetLoad& other172) noexcept {
-  running = other172.running;
-  waiting = other172.waiting;
-  slots = other172.slots;
-  slownessPercent = other172.slownessPercent;
-  __isset = other172.__isset;
+ReportedTargetLoad::ReportedTargetLoad(const ReportedTargetLoad& other182) noexcept {
+  running = other182.running;
+  waiting = other182.waiting;
+  slots = other182.slots;
+  slownessPercent = other182.slownessPercent;
+  __isset = other182.__isset;
 }
-ReportedTargetLoad& ReportedTargetLoad::operator=(const ReportedTargetLoad& other173) noexcept {
-  running = other173.running;
-  waiting = other173.waiting;
-  slots = other173.slots;
-  slownessPercent = other173.slownessPercent;
-  __isset = other173.__isset;
+ReportedTargetLoad& ReportedTargetLoad::operator=(const ReportedTargetLoad& other183) noexcept {
+  running = other183.running;
+  waiting = other183.waiting;
+  slots = other183.slots;
+  slownessPercent = other183.slownessPercent;
+  __isset = other183.__isset;
   return *this;
 }
 void ReportedTargetLoad::printTo(std::ostream& out) const {
@@ -5239,21 +5505,21 @@
   swap(a.__isset, b.__isset);
 }
 
-RunNote::RunNote(const RunNote& other174) noexcept {
-  request = other174.request;
-  event = other174.event;
-  restMicros = other174.restMicros;
-  load = other174.load;
-  mayHaveRestarted = other174.mayHaveRestarted;
-  __isset = other174.__isset;
-}
-RunNote& RunNote::operator=(const RunNote& other175) noexcept {
-  request = other175.request;
-  event = other175.event;
-  restMicros = other175.restMicros;
-  load = other175.load;
-  mayHaveRestarted = other175.mayHaveRestarted;
-  __isset = other175.__isset;
+RunNote::RunNote(const RunNote& other184) noexcept {
+  request = other184.request;
+  event = other184.event;
+  restMicros = other184.restMicros;
+  load = other184.load;
+  mayHaveRestarted = other184.mayHaveRestarted;
+  __isset = other184.__isset;
+}
+RunNote& RunNote::operator=(const RunNote& other185) noexcept {
+  request = other185.request;
+  event = other185.event;
+  restMicros = other185.restMicros;
+  load = other185.load;
+  mayHaveRestarted = other185.mayHaveRestarted;
+  __isset = other185.__isset;
   return *this;
 }
 void RunNote::printTo(std::ostream& out) const {
@@ -5411,21 +5677,21 @@
   swap(a.__isset, b.__isset);
 }
 
-RunRow::RunRow(const RunRow& other176) noexcept {
-  request = other176.request;
-  target = other176.target;
-  prefillTokens = other176.prefillTokens;
-  memoryTokens = other176.memoryTokens;
-  begun = other176.begun;
-  __isset = other176.__isset;
-}
-RunRow& RunRow::operator=(const RunRow& other177) noexcept {
-  request = other177.request;
-  target = other177.target;
-  prefillTokens = other177.prefillTokens;
-  memoryTokens = other177.memoryTokens;
-  begun = other177.begun;
-  __isset = other177.__isset;
+RunRow::RunRow(const RunRow& other186) noexcept {
+  request = other186.request;
+  target = other186.target;
+  prefillTokens = other186.prefillTokens;
+  memoryTokens = other186.memoryTokens;
+  begun = other186.begun;
+  __isset = other186.__isset;
+}
+RunRow& RunRow::operator=(const RunRow& other187) noexcept {
+  request = other187.request;
+  target = other187.target;
+  prefillTokens = other187.prefillTokens;
+  memoryTokens = other187.memoryTokens;
+  begun = other187.begun;
+  __isset = other187.__isset;
   return *this;
 }
 void RunRow::printTo(std::ostream& out) const {
@@ -5495,14 +5761,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->asks.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->asks.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
             {
-              xfer += this->asks[_i182].read(iprot);
+              xfer += this->asks[_i192].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5515,14 +5781,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size183;
-            ::apache::thrift::protocol::TType _etype186;
-            xfer += iprot->readListBegin(_etype186, _size183);
-            this->answers.resize(_size183);
-            uint32_t _i187;
-            for (_i187 = 0; _i187 < _size183; ++_i187)
+            uint32_t _size193;
+            ::apache::thrift::protocol::TType _etype196;
+            xfer += iprot->readListBegin(_etype196, _size193);
+            this->answers.resize(_size193);
+            uint32_t _i197;
+            for (_i197 = 0; _i197 < _size193; ++_i197)
             {
-              xfer += this->answers[_i187].read(iprot);
+              xfer += this->answers[_i197].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5535,14 +5801,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->notes.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->notes.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _etype201;
+            xfer += iprot->readListBegin(_etype201, _size198);
+            this->notes.resize(_size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
             {
-              xfer += this->notes[_i192].read(iprot);
+              xfer += this->notes[_i202].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5563,14 +5829,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size193;
-            ::apache::thrift::protocol::TType _etype196;
-            xfer += iprot->readListBegin(_etype196, _size193);
-            this->runs.resize(_size193);
-            uint32_t _i197;
-            for (_i197 = 0; _i197 < _size193; ++_i197)
+            uint32_t _size203;
+            ::apache::thrift::protocol::TType _etype206;
+            xfer += iprot->readListBegin(_etype206, _size203);
+            this->runs.resize(_size203);
+            uint32_t _i207;
+            for (_i207 = 0; _i207 < _size203; ++_i207)
             {
-              xfer += this->runs[_i197].read(iprot);
+              xfer += this->runs[_i207].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5599,10 +5865,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<PlaceAsk> ::const_iterator _iter198;
-    for (_iter198 = this->asks.begin(); _iter198 != this->asks.end(); ++_iter198)
+    std::vector<PlaceAsk> ::const_iterator _iter208;
+    for (_iter208 = this->asks.begin(); _iter208 != this->asks.end(); ++_iter208)
     {
-      xfer += (*_iter198).write(oprot);
+      xfer += (*_iter208).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5611,10 +5877,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<PlaceAnswer> ::const_iterator _iter199;
-    for (_iter199 = this->answers.begin(); _iter199 != this->answers.end(); ++_iter199)
+    std::vector<PlaceAnswer> ::const_iterator _iter209;
+    for (_iter209 = this->answers.begin(); _iter209 != this->answers.end(); ++_iter209)
     {
-      xfer += (*_iter199).write(oprot);
+      xfer += (*_iter209).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5623,10 +5889,10 @@
   xfer += oprot->writeFieldBegin("notes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notes.size()));
-    std::vector<RunNote> ::const_iterator _iter200;
-    for (_iter200 = this->notes.begin(); _iter200 != this->notes.end(); ++_iter200)
+    std::vector<RunNote> ::const_iterator _iter210;
+    for (_iter210 = this->notes.begin(); _iter210 != this->notes.end(); ++_iter210)
     {
-      xfer += (*_iter200).write(oprot);
+      xfer += (*_iter210).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5639,10 +5905,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<RunRow> ::const_iterator _iter201;
-    for (_iter201 = this->runs.begin(); _iter201 != this->runs.end(); ++_iter201)
+    std::vector<RunRow> ::const_iterator _iter211;
+    for (_iter211 = this->runs.begin(); _iter211 != this->runs.end(); ++_iter211)
     {
-      xfer += (*_iter201).write(oprot);
+      xfer += (*_iter211).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5663,21 +5929,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Placement::Placement(const Placement& other202) {
-  asks = other202.asks;
-  answers = other202.answers;
-  notes = other202.notes;
-  whole = other202.whole;
-  runs = other202.runs;
-  __isset = other202.__isset;
-}
-Placement& Placement::operator=(const Placement& other203) {
-  asks = other203.asks;
-  answers = other203.answers;
-  notes = other203.notes;
-  whole = other203.whole;
-  runs = other203.runs;
-  __isset = other203.__isset;
+Placement::Placement(const Placement& other212) {
+  asks = other212.asks;
+  answers = other212.answers;
+  notes = other212.notes;
+  whole = other212.whole;
+  runs = other212.runs;
+  __isset = other212.__isset;
+}
+Placement& Placement::operator=(const Placement& other213) {
+  asks = other213.asks;
+  answers = other213.answers;
+  notes = other213.notes;
+  whole = other213.whole;
+  runs = other213.runs;
+  __isset = other213.__isset;
   return *this;
 }
 void Placement::printTo(std::ostream& out) const {
@@ -5854,23 +6120,23 @@
   swap(a.__isset, b.__isset);
 }
 
-ListNews::ListNews(const ListNews& other204) {
-  sharedList = other204.sharedList;
-  fromOffset = other204.fromOffset;
-  toOffset = other204.toOffset;
-  reachable = other204.reachable;
-  batch = other204.batch;
-  storeEpoch = other204.storeEpoch;
-  __isset = other204.__isset;
-}
-ListNews& ListNews::operator=(const ListNews& other205) {
-  sharedList = other205.sharedList;
-  fromOffset = other205.fromOffset;
-  toOffset = other205.toOffset;
-  reachable = other205.reachable;
-  batch = other205.batch;
-  storeEpoch = other205.storeEpoch;
-  __isset = other205.__isset;
+ListNews::ListNews(const ListNews& other214) {
+  sharedList = other214.sharedList;
+  fromOffset = other214.fromOffset;
+  toOffset = other214.toOffset;
+  reachable = other214.reachable;
+  batch = other214.batch;
+  storeEpoch = other214.storeEpoch;
+  __isset = other214.__isset;
+}
+ListNews& ListNews::operator=(const ListNews& other215) {
+  sharedList = other215.sharedList;
+  fromOffset = other215.fromOffset;
+  toOffset = other215.toOffset;
+  reachable = other215.reachable;
+  batch = other215.batch;
+  storeEpoch = other215.storeEpoch;
+  __isset = other215.__isset;
   return *this;
 }
 void ListNews::printTo(std::ostream& out) const {
@@ -5941,14 +6207,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size206;
-            ::apache::thrift::protocol::TType _etype209;
-            xfer += iprot->readListBegin(_etype209, _size206);
-            this->waiting.resize(_size206);
-            uint32_t _i210;
-            for (_i210 = 0; _i210 < _size206; ++_i210)
+            uint32_t _size216;
+            ::apache::thrift::protocol::TType _etype219;
+            xfer += iprot->readListBegin(_etype219, _size216);
+            this->waiting.resize(_size216);
+            uint32_t _i220;
+            for (_i220 = 0; _i220 < _size216; ++_i220)
             {
-              xfer += iprot->readI32(this->waiting[_i210]);
+              xfer += iprot->readI32(this->waiting[_i220]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5961,14 +6227,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->charged.clear();
-            uint32_t _size211;
-            ::apache::thrift::protocol::TType _etype214;
-            xfer += iprot->readListBegin(_etype214, _size211);
-            this->charged.resize(_size211);
-            uint32_t _i215;
-            for (_i215 = 0; _i215 < _size211; ++_i215)
+            uint32_t _size221;
+            ::apache::thrift::protocol::TType _etype224;
+            xfer += iprot->readListBegin(_etype224, _size221);
+            this->charged.resize(_size221);
+            uint32_t _i225;
+            for (_i225 = 0; _i225 < _size221; ++_i225)
             {
-              xfer += iprot->readI64(this->charged[_i215]);
+              xfer += iprot->readI64(this->charged[_i225]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6001,10 +6267,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<int32_t> ::const_iterator _iter216;
-    for (_iter216 = this->waiting.begin(); _iter216 != this->waiting.end(); ++_iter216)
+    std::vector<int32_t> ::const_iterator _iter226;
+    for (_iter226 = this->waiting.begin(); _iter226 != this->waiting.end(); ++_iter226)
     {
-      xfer += oprot->writeI32((*_iter216));
+      xfer += oprot->writeI32((*_iter226));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6013,10 +6279,10 @@
   xfer += oprot->writeFieldBegin("charged", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->charged.size()));
-    std::vector<int64_t> ::const_iterator _iter217;
-    for (_iter217 = this->charged.begin(); _iter217 != this->charged.end(); ++_iter217)
+    std::vector<int64_t> ::const_iterator _iter227;
+    for (_iter227 = this->charged.begin(); _iter227 != this->charged.end(); ++_iter227)
     {
-      xfer += oprot->writeI64((*_iter217));
+      xfer += oprot->writeI64((*_iter227));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6035,17 +6301,17 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandColumns::DemandColumns(const DemandColumns& other218) {
-  accounts = other218.accounts;
-  waiting = other218.waiting;
-  charged = other218.charged;
-  __isset = other218.__isset;
+DemandColumns::DemandColumns(const DemandColumns& other228) {
+  accounts = other228.accounts;
+  waiting = other228.waiting;
+  charged = other228.charged;
+  __isset = other228.__isset;
 }
-DemandColumns& DemandColumns::operator=(const DemandColumns& other219) {
-  accounts = other219.accounts;
-  waiting = other219.waiting;
-  charged = other219.charged;
-  __isset = other219.__isset;
+DemandColumns& DemandColumns::operator=(const DemandColumns& other229) {
+  accounts = other229.accounts;
+  waiting = other229.waiting;
+  charged = other229.charged;
+  __isset = other229.__isset;
   return *this;
 }
 void DemandColumns::printTo(std::ostream& out) const {
@@ -6113,14 +6379,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size220;
-            ::apache::thrift::protocol::TType _etype223;
-            xfer += iprot->readListBegin(_etype223, _size220);
-            this->held.resize(_size220);
-            uint32_t _i224;
-            for (_i224 = 0; _i224 < _size220; ++_i224)
+            uint32_t _size230;
+            ::apache::thrift::protocol::TType _etype233;
+            xfer += iprot->readListBegin(_etype233, _size230);
+            this->held.resize(_size230);
+            uint32_t _i234;
+            for (_i234 = 0; _i234 < _size230; ++_i234)
             {
-              xfer += iprot->readI32(this->held[_i224]);
+              xfer += iprot->readI32(this->held[_i234]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6133,14 +6399,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->idle.clear();
-            uint32_t _size225;
-            ::apache::thrift::protocol::TType _etype228;
-            xfer += iprot->readListBegin(_etype228, _size225);
-            this->idle.resize(_size225);
-            uint32_t _i229;
-            for (_i229 = 0; _i229 < _size225; ++_i229)
+            uint32_t _size235;
+            ::apache::thrift::protocol::TType _etype238;
+            xfer += iprot->readListBegin(_etype238, _size235);
+            this->idle.resize(_size235);
+            uint32_t _i239;
+            for (_i239 = 0; _i239 < _size235; ++_i239)
             {
-              xfer += iprot->readI32(this->idle[_i229]);
+              xfer += iprot->readI32(this->idle[_i239]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6173,10 +6439,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->held.size()));
-    std::vector<int32_t> ::const_iterator _iter230;
-    for (_iter230 = this->held.begin(); _iter230 != this->held.end(); ++_iter230)
+    std::vector<int32_t> ::const_iterator _iter240;
+    for (_iter240 = this->held.begin(); _iter240 != this->held.end(); ++_iter240)
     {
-      xfer += oprot->writeI32((*_iter230));
+      xfer += oprot->writeI32((*_iter240));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6185,10 +6451,10 @@
   xfer += oprot->writeFieldBegin("idle", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->idle.size()));
-    std::vector<int32_t> ::const_iterator _iter231;
-    for (_iter231 = this->idle.begin(); _iter231 != this->idle.end(); ++_iter231)
+    std::vector<int32_t> ::const_iterator _iter241;
+    for (_iter241 = this->idle.begin(); _iter241 != this->idle.end(); ++_iter241)
     {
-      xfer += oprot->writeI32((*_iter231));
+      xfer += oprot->writeI32((*_iter241));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6207,17 +6473,17 @@
   swap(a.__isset, b.__isset);
 }
 
-HeldColumns::HeldColumns(const HeldColumns& other232) {
-  targets = other232.targets;
-  held = other232.held;
-  idle = other232.idle;
-  __isset = other232.__isset;
+HeldColumns::HeldColumns(const HeldColumns& other242) {
+  targets = other242.targets;
+  held = other242.held;
+  idle = other242.idle;
+  __isset = other242.__isset;
 }
-HeldColumns& HeldColumns::operator=(const HeldColumns& other233) {
-  targets = other233.targets;
-  held = other233.held;
-  idle = other233.idle;
-  __isset = other233.__isset;
+HeldColumns& HeldColumns::operator=(const HeldColumns& other243) {
+  targets = other243.targets;
+  held = other243.held;
+  idle = other243.idle;
+  __isset = other243.__isset;
   return *this;
 }
 void HeldColumns::printTo(std::ostream& out) const {
@@ -6285,14 +6551,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size234;
-            ::apache::thrift::protocol::TType _etype237;
-            xfer += iprot->readListBegin(_etype237, _size234);
-            this->counts.resize(_size234);
-            uint32_t _i238;
-            for (_i238 = 0; _i238 < _size234; ++_i238)
+            uint32_t _size244;
+            ::apache::thrift::protocol::TType _etype247;
+            xfer += iprot->readListBegin(_etype247, _size244);
+            this->counts.resize(_size244);
+            uint32_t _i248;
+            for (_i248 = 0; _i248 < _size244; ++_i248)
             {
-              xfer += iprot->readI32(this->counts[_i238]);
+              xfer += iprot->readI32(this->counts[_i248]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6333,10 +6599,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
-    std::vector<int32_t> ::const_iterator _iter239;
-    for (_iter239 = this->counts.begin(); _iter239 != this->counts.end(); ++_iter239)
+    std::vector<int32_t> ::const_iterator _iter249;
+    for (_iter249 = this->counts.begin(); _iter249 != this->counts.end(); ++_iter249)
     {
-      xfer += oprot->writeI32((*_iter239));
+      xfer += oprot->writeI32((*_iter249));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6359,17 +6625,17 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantColumns::GrantColumns(const GrantColumns& other240) {
-  targets = other240.targets;
-  counts = other240.counts;
-  accounts = other240.accounts;
-  __isset = other240.__isset;
+GrantColumns::GrantColumns(const GrantColumns& other250) {
+  targets = other250.targets;
+  counts = other250.counts;
+  accounts = other250.accounts;
+  __isset = other250.__isset;
 }
-GrantColumns& GrantColumns::operator=(const GrantColumns& other241) {
-  targets = other241.targets;
-  counts = other241.counts;
-  accounts = other241.accounts;
-  __isset = other241.__isset;
+GrantColumns& GrantColumns::operator=(const GrantColumns& other251) {
+  targets = other251.targets;
+  counts = other251.counts;
+  accounts = other251.accounts;
+  __isset = other251.__isset;
   return *this;
 }
 void GrantColumns::printTo(std::ostream& out) const {
@@ -6433,14 +6699,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tags.clear();
-            uint32_t _size242;
-            ::apache::thrift::protocol::TType _etype245;
-            xfer += iprot->readListBegin(_etype245, _size242);
-            this->tags.resize(_size242);
-            uint32_t _i246;
-            for (_i246 = 0; _i246 < _size242; ++_i246)
+            uint32_t _size252;
+            ::apache::thrift::protocol::TType _etype255;
+            xfer += iprot->readListBegin(_etype255, _size252);
+            this->tags.resize(_size252);
+            uint32_t _i256;
+            for (_i256 = 0; _i256 < _size252; ++_i256)
             {
-              xfer += iprot->readI64(this->tags[_i246]);
+              xfer += iprot->readI64(this->tags[_i256]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6473,10 +6739,10 @@
   xfer += oprot->writeFieldBegin("tags", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tags.size()));
-    std::vector<int64_t> ::const_iterator _iter247;
-    for (_iter247 = this->tags.begin(); _iter247 != this->tags.end(); ++_iter247)
+    std::vector<int64_t> ::const_iterator _iter257;
+    for (_iter257 = this->tags.begin(); _iter257 != this->tags.end(); ++_iter257)
     {
-      xfer += oprot->writeI64((*_iter247));
+      xfer += oprot->writeI64((*_iter257));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6494,15 +6760,15 @@
   swap(a.__isset, b.__isset);
 }
 
-TagColumns::TagColumns(const TagColumns& other248) {
-  accounts = other248.accounts;
-  tags = other248.tags;
-  __isset = other248.__isset;
+TagColumns::TagColumns(const TagColumns& other258) {
+  accounts = other258.accounts;
+  tags = other258.tags;
+  __isset = other258.__isset;
 }
-TagColumns& TagColumns::operator=(const TagColumns& other249) {
-  accounts = other249.accounts;
-  tags = other249.tags;
-  __isset = other249.__isset;
+TagColumns& TagColumns::operator=(const TagColumns& other259) {
+  accounts = other259.accounts;
+  tags = other259.tags;
+  __isset = other259.__isset;
   return *this;
 }
 void TagColumns::printTo(std::ostream& out) const {
@@ -6569,14 +6835,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->charged.clear();
-            uint32_t _size250;
-            ::apache::thrift::protocol::TType _etype253;
-            xfer += iprot->readListBegin(_etype253, _size250);
-            this->charged.resize(_size250);
-            uint32_t _i254;
-            for (_i254 = 0; _i254 < _size250; ++_i254)
+            uint32_t _size260;
+            ::apache::thrift::protocol::TType _etype263;
+            xfer += iprot->readListBegin(_etype263, _size260);
+            this->charged.resize(_size260);
+            uint32_t _i264;
+            for (_i264 = 0; _i264 < _size260; ++_i264)
             {
-              xfer += iprot->readI64(this->charged[_i254]);
+              xfer += iprot->readI64(this->charged[_i264]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6589,14 +6855,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tags.clear();
-            uint32_t _size255;
-            ::apache::thrift::protocol::TType _etype258;
-            xfer += iprot->readListBegin(_etype258, _size255);
-            this->tags.resize(_size255);
-            uint32_t _i259;
-            for (_i259 = 0; _i259 < _size255; ++_i259)
+            uint32_t _size265;
+            ::apache::thrift::protocol::TType _etype268;
+            xfer += iprot->readListBegin(_etype268, _size265);
+            this->tags.resize(_size265);
+            uint32_t _i269;
+            for (_i269 = 0; _i269 < _size265; ++_i269)
             {
-              xfer += iprot->readI64(this->tags[_i259]);
+              xfer += iprot->readI64(this->tags[_i269]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6629,10 +6895,10 @@
   xfer += oprot->writeFieldBegin("charged", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->charged.size()));
-    std::vector<int64_t> ::const_iterator _iter260;
-    for (_iter260 = this->charged.begin(); _iter260 != this->charged.end(); ++_iter260)
+    std::vector<int64_t> ::const_iterator _iter270;
+    for (_iter270 = this->charged.begin(); _iter270 != this->charged.end(); ++_iter270)
     {
-      xfer += oprot->writeI64((*_iter260));
+      xfer += oprot->writeI64((*_iter270));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6641,10 +6907,10 @@
   xfer += oprot->writeFieldBegin("tags", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tags.size()));
-    std::vector<int64_t> ::const_iterator _iter261;
-    for (_iter261 = this->tags.begin(); _iter261 != this->tags.end(); ++_iter261)
+    std::vector<int64_t> ::const_iterator _iter271;
+    for (_iter271 = this->tags.begin(); _iter271 != this->tags.end(); ++_iter271)
     {
-      xfer += oprot->writeI64((*_iter261));
+      xfer += oprot->writeI64((*_iter271));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6663,17 +6929,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ExchangeColumns::ExchangeColumns(const ExchangeColumns& other262) {
-  accounts = other262.accounts;
-  charged = other262.charged;
-  tags = other262.tags;
-  __isset = other262.__isset;
+ExchangeColumns::ExchangeColumns(const ExchangeColumns& other272) {
+  accounts = other272.accounts;
+  charged = other272.charged;
+  tags = other272.tags;
+  __isset = other272.__isset;
 }
-ExchangeColumns& ExchangeColumns::operator=(const ExchangeColumns& other263) {
-  accounts = other263.accounts;
-  charged = other263.charged;
-  tags = other263.tags;
-  __isset = other263.__isset;
+ExchangeColumns& ExchangeColumns::operator=(const ExchangeColumns& other273) {
+  accounts = other273.accounts;
+  charged = other273.charged;
+  tags = other273.tags;
+  __isset = other273.__isset;
   return *this;
 }
 void ExchangeColumns::printTo(std::ostream& out) const {
@@ -6745,14 +7011,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefillTokens.clear();
-            uint32_t _size264;
-            ::apache::thrift::protocol::TType _etype267;
-            xfer += iprot->readListBegin(_etype267, _size264);
-            this->prefillTokens.resize(_size264);
-            uint32_t _i268;
-            for (_i268 = 0; _i268 < _size264; ++_i268)
+            uint32_t _size274;
+            ::apache::thrift::protocol::TType _etype277;
+            xfer += iprot->readListBegin(_etype277, _size274);
+            this->prefillTokens.resize(_size274);
+            uint32_t _i278;
+            for (_i278 = 0; _i278 < _size274; ++_i278)
             {
-              xfer += iprot->readI32(this->prefillTokens[_i268]);
+              xfer += iprot->readI32(this->prefillTokens[_i278]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6765,14 +7031,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size269;
-            ::apache::thrift::protocol::TType _etype272;
-            xfer += iprot->readListBegin(_etype272, _size269);
-            this->running.resize(_size269);
-            uint32_t _i273;
-            for (_i273 = 0; _i273 < _size269; ++_i273)
+            uint32_t _size279;
+            ::apache::thrift::protocol::TType _etype282;
+            xfer += iprot->readListBegin(_etype282, _size279);
+            this->running.resize(_size279);
+            uint32_t _i283;
+            for (_i283 = 0; _i283 < _size279; ++_i283)
             {
-              xfer += iprot->readI32(this->running[_i273]);
+              xfer += iprot->readI32(this->running[_i283]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6785,14 +7051,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memoryTokens.clear();
-            uint32_t _size274;
-            ::apache::thrift::protocol::TType _etype277;
-            xfer += iprot->readListBegin(_etype277, _size274);
-            this->memoryTokens.resize(_size274);
-            uint32_t _i278;
-            for (_i278 = 0; _i278 < _size274; ++_i278)
+            uint32_t _size284;
+            ::apache::thrift::protocol::TType _etype287;
+            xfer += iprot->readListBegin(_etype287, _size284);
+            this->memoryTokens.resize(_size284);
+            uint32_t _i288;
+            for (_i288 = 0; _i288 < _size284; ++_i288)
             {
-              xfer += iprot->readI32(this->memoryTokens[_i278]);
+              xfer += iprot->readI32(this->memoryTokens[_i288]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6825,10 +7091,10 @@
   xfer += oprot->writeFieldBegin("prefillTokens", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->prefillTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter279;
-    for (_iter279 = this->prefillTokens.begin(); _iter279 != this->prefillTokens.end(); ++_iter279)
+    std::vector<int32_t> ::const_iterator _iter289;
+    for (_iter289 = this->prefillTokens.begin(); _iter289 != this->prefillTokens.end(); ++_iter289)
     {
-      xfer += oprot->writeI32((*_iter279));
+      xfer += oprot->writeI32((*_iter289));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6837,10 +7103,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
-    std::vector<int32_t> ::const_iterator _iter280;
-    for (_iter280 = this->running.begin(); _iter280 != this->running.end(); ++_iter280)
+    std::vector<int32_t> ::const_iterator _iter290;
+    for (_iter290 = this->running.begin(); _iter290 != this->running.end(); ++_iter290)
     {
-      xfer += oprot->writeI32((*_iter280));
+      xfer += oprot->writeI32((*_iter290));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6849,10 +7115,10 @@
   xfer += oprot->writeFieldBegin("memoryTokens", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->memoryTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter281;
-    for (_iter281 = this->memoryTokens.begin(); _iter281 != this->memoryTokens.end(); ++_iter281)
+    std::vector<int32_t> ::const_iterator _iter291;
+    for (_iter291 = this->memoryTokens.begin(); _iter291 != this->memoryTokens.end(); ++_iter291)
     {
-      xfer += oprot->writeI32((*_iter281));
+      xfer += oprot->writeI32((*_iter291));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6872,19 +7138,19 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetUseColumns::TargetUseColumns(const TargetUseColumns& other282) {
-  targets = other282.targets;
-  prefillTokens = other282.prefillTokens;
-  running = other282.running;
-  memoryTokens = other282.memoryTokens;
-  __isset = other282.__isset;
+TargetUseColumns::TargetUseColumns(const TargetUseColumns& other292) {
+  targets = other292.targets;
+  prefillTokens = other292.prefillTokens;
+  running = other292.running;
+  memoryTokens = other292.memoryTokens;
+  __isset = other292.__isset;
 }
-TargetUseColumns& TargetUseColumns::operator=(const TargetUseColumns& other283) {
-  targets = other283.targets;
-  prefillTokens = other283.prefillTokens;
-  running = other283.running;
-  memoryTokens = other283.memoryTokens;
-  __isset = other283.__isset;
+TargetUseColumns& TargetUseColumns::operator=(const TargetUseColumns& other293) {
+  targets = other293.targets;
+  prefillTokens = other293.prefillTokens;
+  running = other293.running;
+  memoryTokens = other293.memoryTokens;
+  __isset = other293.__isset;
   return *this;
 }
 void TargetUseColumns::printTo(std::ostream& out) const {
@@ -6953,14 +7219,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->askedTokens.clear();
-            uint32_t _size284;
-            ::apache::thrift::protocol::TType _etype287;
-            xfer += iprot->readListBegin(_etype287, _size284);
-            this->askedTokens.resize(_size284);
-            uint32_t _i288;
-            for (_i288 = 0; _i288 < _size284; ++_i288)
+            uint32_t _size294;
+            ::apache::thrift::protocol::TType _etype297;
+            xfer += iprot->readListBegin(_etype297, _size294);
+            this->askedTokens.resize(_size294);
+            uint32_t _i298;
+            for (_i298 = 0; _i298 < _size294; ++_i298)
             {
-              xfer += iprot->readI64(this->askedTokens[_i288]);
+              xfer += iprot->readI64(this->askedTokens[_i298]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6973,14 +7239,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->givenTokens.clear();
-            uint32_t _size289;
-            ::apache::thrift::protocol::TType _etype292;
-            xfer += iprot->readListBegin(_etype292, _size289);
-            this->givenTokens.resize(_size289);
-            uint32_t _i293;
-            for (_i293 = 0; _i293 < _size289; ++_i293)
+            uint32_t _size299;
+            ::apache::thrift::protocol::TType _etype302;
+            xfer += iprot->readListBegin(_etype302, _size299);
+            this->givenTokens.resize(_size299);
+            uint32_t _i303;
+            for (_i303 = 0; _i303 < _size299; ++_i303)
             {
-              xfer += iprot->readI64(this->givenTokens[_i293]);
+              xfer += iprot->readI64(this->givenTokens[_i303]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7013,10 +7279,10 @@
   xfer += oprot->writeFieldBegin("askedTokens", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->askedTokens.size()));
-    std::vector<int64_t> ::const_iterator _iter294;
-    for (_iter294 = this->askedTokens.begin(); _iter294 != this->askedTokens.end(); ++_iter294)
+    std::vector<int64_t> ::const_iterator _iter304;
+    for (_iter304 = this->askedTokens.begin(); _iter304 != this->askedTokens.end(); ++_iter304)
     {
-      xfer += oprot->writeI64((*_iter294));
+      xfer += oprot->writeI64((*_iter304));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7025,10 +7291,10 @@
   xfer += oprot->writeFieldBegin("givenTokens", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->givenTokens.size()));
-    std::vector<int64_t> ::const_iterator _iter295;
-    for (_iter295 = this->givenTokens.begin(); _iter295 != this->givenTokens.end(); ++_iter295)
+    std::vector<int64_t> ::const_iterator _iter305;
+    for (_iter305 = this->givenTokens.begin(); _iter305 != this->givenTokens.end(); ++_iter305)
     {
-      xfer += oprot->writeI64((*_iter295));
+      xfer += oprot->writeI64((*_iter305));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7047,17 +7313,17 @@
   swap(a.__isset, b.__isset);
 }
 
-AccountUseColumns::AccountUseColumns(const AccountUseColumns& other296) {
-  accounts = other296.accounts;
-  askedTokens = other296.askedTokens;
-  givenTokens = other296.givenTokens;
-  __isset = other296.__isset;
+AccountUseColumns::AccountUseColumns(const AccountUseColumns& other306) {
+  accounts = other306.accounts;
+  askedTokens = other306.askedTokens;
+  givenTokens = other306.givenTokens;
+  __isset = other306.__isset;
 }
-AccountUseColumns& AccountUseColumns::operator=(const AccountUseColumns& other297) {
-  accounts = other297.accounts;
-  askedTokens = other297.askedTokens;
-  givenTokens = other297.givenTokens;
-  __isset = other297.__isset;
+AccountUseColumns& AccountUseColumns::operator=(const AccountUseColumns& other307) {
+  accounts = other307.accounts;
+  askedTokens = other307.askedTokens;
+  givenTokens = other307.givenTokens;
+  __isset = other307.__isset;
   return *this;
 }
 void AccountUseColumns::printTo(std::ostream& out) const {
@@ -7162,15 +7428,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PartReadColumns::PartReadColumns(const PartReadColumns& other298) {
-  targets = other298.targets;
-  parts = other298.parts;
-  __isset = other298.__isset;
+PartReadColumns::PartReadColumns(const PartReadColumns& other308) {
+  targets = other308.targets;
+  parts = other308.parts;
+  __isset = other308.__isset;
 }
-PartReadColumns& PartReadColumns::operator=(const PartReadColumns& other299) {
-  targets = other299.targets;
-  parts = other299.parts;
-  __isset = other299.__isset;
+PartReadColumns& PartReadColumns::operator=(const PartReadColumns& other309) {
+  targets = other309.targets;
+  parts = other309.parts;
+  __isset = other309.__isset;
   return *this;
 }
 void PartReadColumns::printTo(std::ostream& out) const {
@@ -7392,27 +7658,27 @@
   swap(a.__isset, b.__isset);
 }
 
-RowColumns::RowColumns(const RowColumns& other300) {
-  demand = other300.demand;
-  held = other300.held;
-  grants = other300.grants;
-  tags = other300.tags;
-  exchange = other300.exchange;
-  targets = other300.targets;
-  accounts = other300.accounts;
-  reads = other300.reads;
-  __isset = other300.__isset;
-}
-RowColumns& RowColumns::operator=(const RowColumns& other301) {
-  demand = other301.demand;
-  held = other301.held;
-  grants = other301.grants;
-  tags = other301.tags;
-  exchange = other301.exchange;
-  targets = other301.targets;
-  accounts = other301.accounts;
-  reads = other301.reads;
-  __isset = other301.__isset;
+RowColumns::RowColumns(const RowColumns& other310) {
+  demand = other310.demand;
+  held = other310.held;
+  grants = other310.grants;
+  tags = other310.tags;
+  exchange = other310.exchange;
+  targets = other310.targets;
+  accounts = other310.accounts;
+  reads = other310.reads;
+  __isset = other310.__isset;
+}
+RowColumns& RowColumns::operator=(const RowColumns& other311) {
+  demand = other311.demand;
+  held = other311.held;
+  grants = other311.grants;
+  tags = other311.tags;
+  exchange = other311.exchange;
+  targets = other311.targets;
+  accounts = other311.accounts;
+  reads = other311.reads;
+  __isset = other311.__isset;
   return *this;
 }
 void RowColumns::printTo(std::ostream& out) const {
@@ -7712,35 +7978,35 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other302) {
-  sender = other302.sender;
-  incarnation = other302.incarnation;
-  heartbeat = other302.heartbeat;
-  demand = other302.demand;
-  grants = other302.grants;
-  exchange = other302.exchange;
-  configOffer = other302.configOffer;
-  configRequest = other302.configRequest;
-  load = other302.load;
-  listNews = other302.listNews;
-  columns = other302.columns;
-  placement = other302.placement;
-  __isset = other302.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other303) {
-  sender = other303.sender;
-  incarnation = other303.incarnation;
-  heartbeat = other303.heartbeat;
-  demand = other303.demand;
-  grants = other303.grants;
-  exchange = other303.exchange;
-  configOffer = other303.configOffer;
-  configRequest = other303.configRequest;
-  load = other303.load;
-  listNews = other303.listNews;
-  columns = other303.columns;
-  placement = other303.placement;
-  __isset = other303.__isset;
+Envelope::Envelope(const Envelope& other312) {
+  sender = other312.sender;
+  incarnation = other312.incarnation;
+  heartbeat = other312.heartbeat;
+  demand = other312.demand;
+  grants = other312.grants;
+  exchange = other312.exchange;
+  configOffer = other312.configOffer;
+  configRequest = other312.configRequest;
+  load = other312.load;
+  listNews = other312.listNews;
+  columns = other312.columns;
+  placement = other312.placement;
+  __isset = other312.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other313) {
+  sender = other313.sender;
+  incarnation = other313.incarnation;
+  heartbeat = other313.heartbeat;
+  demand = other313.demand;
+  grants = other313.grants;
+  exchange = other313.exchange;
+  configOffer = other313.configOffer;
+  configRequest = other313.configRequest;
+  load = other313.load;
+  listNews = other313.listNews;
+  columns = other313.columns;
+  placement = other313.placement;
+  __isset = other313.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen/peer_types.h
+++ b/src/wire/gen/peer_types.h
@@ -67,6 +67,10 @@
 
 class ZoneDrainList;
 
+class ColdTargetRow;
+
+class ColdTargetList;
+
 class LoadReport;
 
 class PlaceAsk;
@@ -1589,8 +1593,107 @@
 
 std::ostream& operator<<(std::ostream& out, const ZoneDrainList& obj);
 
+typedef struct _ColdTargetRow__isset {
+  _ColdTargetRow__isset() : target(false), leftMicros(false) {}
+  bool target :1;
+  bool leftMicros :1;
+} _ColdTargetRow__isset;
+
+class ColdTargetRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  ColdTargetRow(const ColdTargetRow&) noexcept;
+  ColdTargetRow& operator=(const ColdTargetRow&) noexcept;
+  ColdTargetRow() noexcept
+                : target(0),
+                  leftMicros(0) {
+  }
+
+  virtual ~ColdTargetRow() noexcept;
+  int32_t target;
+  int64_t leftMicros;
+
+  _ColdTargetRow__isset __isset;
+
+  void __set_target(const int32_t val);
+
+  void __set_leftMicros(const int64_t val);
+
+  bool operator == (const ColdTargetRow & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(leftMicros == rhs.leftMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const ColdTargetRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ColdTargetRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ColdTargetRow &a, ColdTargetRow &b);
+
+std::ostream& operator<<(std::ostream& out, const ColdTargetRow& obj);
+
+typedef struct _ColdTargetList__isset {
+  _ColdTargetList__isset() : complete(false), targets(false) {}
+  bool complete :1;
+  bool targets :1;
+} _ColdTargetList__isset;
+
+class ColdTargetList : public virtual ::apache::thrift::TBase {
+ public:
+
+  ColdTargetList(const ColdTargetList&);
+  ColdTargetList& operator=(const ColdTargetList&);
+  ColdTargetList() noexcept
+                 : complete(0) {
+  }
+
+  virtual ~ColdTargetList() noexcept;
+  bool complete;
+  std::vector<ColdTargetRow>  targets;
+
+  _ColdTargetList__isset __isset;
+
+  void __set_complete(const bool val);
+
+  void __set_targets(const std::vector<ColdTargetRow> & val);
+
+  bool operator == (const ColdTargetList & rhs) const
+  {
+    if (!(complete == rhs.complete))
+      return false;
+    if (!(targets == rhs.targets))
+      return false;
+    return true;
+  }
+  bool operator != (const ColdTargetList &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ColdTargetList & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ColdTargetList &a, ColdTargetList &b);
+
+std::ostream& operator<<(std::ostream& out, const ColdTargetList& obj);
+
 typedef struct _LoadReport__isset {
-  _LoadReport__isset() : targets(false), accounts(false), configVersion(false), configAgeMicros(false), stampMicros(false), echoMicros(false), pressed(false), reads(false), partial(false), leaving(false), gone(false), echoIncarnation(false), crashes(false), drains(false) {}
+  _LoadReport__isset() : targets(false), accounts(false), configVersion(false), configAgeMicros(false), stampMicros(false), echoMicros(false), pressed(false), reads(false), partial(false), leaving(false), gone(false), echoIncarnation(false), crashes(false), drains(false), cold(false) {}
   bool targets :1;
   bool accounts :1;
   bool configVersion :1;
@@ -1605,6 +1708,7 @@
   bool echoIncarnation :1;
   bool crashes :1;
   bool drains :1;
+  bool cold :1;
 } _LoadReport__isset;
 
 class LoadReport : public virtual ::apache::thrift::TBase {
@@ -1637,6 +1741,7 @@
   int64_t echoIncarnation;
   CrashNews crashes;
   ZoneDrainList drains;
+  ColdTargetList cold;
 
   _LoadReport__isset __isset;
 
@@ -1668,6 +1773,8 @@
 
   void __set_drains(const ZoneDrainList& val);
 
+  void __set_cold(const ColdTargetList& val);
+
   bool operator == (const LoadReport & rhs) const
   {
     if (!(targets == rhs.targets))
@@ -1702,6 +1809,10 @@
       return false;
     else if (__isset.drains && !(drains == rhs.drains))
       return false;
+    if (__isset.cold != rhs.__isset.cold)
+      return false;
+    else if (__isset.cold && !(cold == rhs.cold))
+      return false;
     return true;
   }
   bool operator != (const LoadReport &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -185,6 +185,19 @@
   3: list<ZoneDrainRow> zones
 }
 
+struct ColdTargetRow {
+  1: i32 target
+  // How much longer it counts as cold.
+  2: i64 leftMicros
+}
+
+// Targets that count as cold for the sender.
+struct ColdTargetList {
+  // Whether the sender has run for long enough to know all of them.
+  1: bool complete
+  2: list<ColdTargetRow> targets
+}
+
 struct LoadReport {
   1: list<TargetUse> targets
   2: list<AccountUse> accounts
@@ -204,6 +217,7 @@
   12: i64 echoIncarnation
   13: optional CrashNews crashes
   14: optional ZoneDrainList drains
+  15: optional ColdTargetList cold
 }
 
 // Asks a lead of the zone where a request may run. Numbers of requests are the
--- a/tests/platform/store_source_test.cpp
+++ b/tests/platform/store_source_test.cpp
@@ -41,6 +41,17 @@
   {
     ++confirmed_;
   }
+  auto OnZoneDrains(const std::vector<ZoneDrainRecord>& aRecords,
+                    bool aIsSnapshot,
+                    std::int64_t /*aOffset*/) -> void override
+  {
+    if (aIsSnapshot) {
+      drains_.clear();
+    }
+    for (const auto& record : aRecords) {
+      drains_[record.name_] = record.isDrained_;
+    }
+  }
   auto OnTarget(const std::string& aKey, RegisteredTarget /*aTarget*/)
     -> void override
   {
@@ -50,8 +61,7 @@
   {
     targets_.erase(aKey);
   }
-  auto OnTargets(
-    const std::vector<std::pair<std::string, RegisteredTarget>>& aAll)
+  auto OnTargets(std::vector<std::pair<std::string, RegisteredTarget>> aAll)
     -> void override
   {
     targets_.clear();
--- /dev/null
+++ b/tests/process/placement/cold_targets_test.cpp
@@ -0,0 +1,94 @@
+#include "process/placement/cold_targets.h"
+
+#include <gtest/gtest.h>
+
+namespace burdockring {
+namespace {
+
+constexpr TargetId kTarget{ 5 };
+constexpr Duration kWarmUp = 3s;
+
+TEST(ColdTargetsTest, TargetIsColdForAsLongAsItsRegistrationSays)
+{
+  ColdTargets targets;
+  EXPECT_FALSE(targets.IsCold(kTarget, 1s));
+  targets.MarkColdUntil(kTarget, 4s);
+  targets.MarkColdUntil(kTarget, 2s);
+  EXPECT_TRUE(targets.IsCold(kTarget, 3s));
+  EXPECT_FALSE(targets.IsCold(kTarget, 4s));
+  targets.DropWarm(4s);
+  EXPECT_EQ(targets.Count(3s), 0U);
+}
+
+// A router that restarts while targets are cold sends them what it likes.
+TEST(ColdTargetsTest, RouterThatHasJustStartedTakesAllTargetsForCold)
+{
+  ColdTargets targets;
+  EXPECT_TRUE(targets.IsUninformed(1s));
+  targets.Start(kWarmUp, 1s);
+  targets.Start(kWarmUp, 3s);
+  EXPECT_TRUE(targets.IsUninformed(3900ms));
+  EXPECT_FALSE(targets.IsUninformed(4s));
+}
+
+TEST(ColdTargetsTest, ListOfAnInformedPeerEndsThat)
+{
+  const auto warmUp = [](TargetId) { return kWarmUp; };
+  ColdTargets peer;
+  ColdTargets started;
+  peer.Start(kWarmUp, 1s);
+  started.Start(kWarmUp, 9s);
+  peer.MarkColdUntil(kTarget, 11s);
+  started.OnPeerList(peer.List(2s, warmUp), kWarmUp, 9s);
+  EXPECT_TRUE(started.IsUninformed(9s));
+  started.OnPeerList(peer.List(10s, warmUp), kWarmUp, 10s);
+  EXPECT_FALSE(started.IsUninformed(10s));
+  EXPECT_TRUE(started.IsCold(kTarget, 10900ms));
+  EXPECT_FALSE(started.IsCold(kTarget, 11s));
+}
+
+TEST(ColdTargetsTest, UnverifiedTargetStaysColdAtPeersForItsWarmUp)
+{
+  ColdTargets leader;
+  ColdTargets peer;
+  leader.OnTargetLost(kTarget, 10s);
+  peer.OnPeerList(leader.List(12s, [](TargetId) { return kWarmUp; }), kWarmUp,
+                  12s);
+  EXPECT_TRUE(peer.IsCold(kTarget, 14s));
+  EXPECT_FALSE(peer.IsCold(kTarget, 15s));
+}
+
+TEST(ColdTargetsTest, PeerCannotKeepATargetColdForEver)
+{
+  ColdTargets targets;
+  wire::ColdTargetList list;
+  list.targets.resize(1);
+  list.targets[0].target = kTarget.value_;
+  list.targets[0].leftMicros = Duration(24h).count();
+  targets.OnPeerList(list, kWarmUp, 1s);
+  EXPECT_FALSE(targets.IsCold(kTarget, 1s + kWarmUp));
+}
+
+// A target that vanished may return cold with its old registration, and when it
+// does is seen by the first success alone.
+TEST(ColdTargetsTest, LostTargetWarmsUpFromItsFirstSuccess)
+{
+  ColdTargets targets;
+  targets.OnTargetLost(kTarget, 10s);
+  targets.OnSuccess(kTarget, 9s, kWarmUp, 11s);
+  EXPECT_TRUE(targets.IsCold(kTarget, 14s));
+  targets.OnSuccess(kTarget, 14s, kWarmUp, 15s);
+  EXPECT_TRUE(targets.IsCold(kTarget, 17s));
+  EXPECT_FALSE(targets.IsCold(kTarget, 18s));
+}
+
+TEST(ColdTargetsTest, LostTargetIsNotColdForEver)
+{
+  ColdTargets targets;
+  targets.OnTargetLost(kTarget, 10s);
+  EXPECT_TRUE(targets.IsCold(kTarget, 19s));
+  EXPECT_FALSE(targets.IsCold(kTarget, 10s + ColdTargets::kMaxUnverified));
+}
+
+} // namespace
+} // namespace burdockring
--- a/tests/soak/promise_book.cpp
+++ b/tests/soak/promise_book.cpp
@@ -88,6 +88,12 @@
   Break("a leaving target gets no more", aId, "was sent there");
 }
 
+auto PromiseBook::OnTooManyAtCold(const std::string& aId) -> void
+{
+  const std::lock_guard lock(mutex_);
+  Break("a cold target gets few requests", aId, "was beyond its limit");
+}
+
 auto PromiseBook::Close() -> void
 {
   const std::lock_guard lock(mutex_);
--- a/tests/soak/promise_book.h
+++ b/tests/soak/promise_book.h
@@ -62,6 +62,9 @@
   auto OnAnswer(const std::string& aId, const SoakAnswer& aAnswer) -> void;
   /// A request came to a target that was listed as leaving long ago.
   auto OnLateAtLeaving(const std::string& aId) -> void;
+  /// A cold target got more requests in a second than all routers together may
+  /// send it.
+  auto OnTooManyAtCold(const std::string& aId) -> void;
   /// Checks what can only be said when all has ended.
   auto Close() -> void;
 
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -22,6 +22,12 @@
 /// add to the time at which it was taken away.
 constexpr std::int64_t kRevokeMs = 5'000;
 constexpr std::int64_t kMarginMs = 50;
+/// How long targets are cold after their zone is taken back, the rate that they
+/// tolerate then, and the limit of all routers together in any second.
+constexpr auto kColdStart = std::chrono::milliseconds(2000);
+constexpr double kColdPerSecond = 8.0;
+constexpr std::size_t kColdLimit = 17;
+constexpr std::int64_t kColdWindowMs = 1000;
 /// How long what the store lost is missing there.
 constexpr auto kRewriteTime = std::chrono::milliseconds(400);
 
@@ -65,6 +71,24 @@
   store_->Put(std::string(kStandinTargetTopic), EncodeStandinTarget(target));
 }
 
+auto SoakFleet::CheckColdRate(Target* aTarget, const std::string& aRequestId)
+  -> void
+{
+  const auto now = NowMs();
+  if (now >= aTarget->coldUntil_) {
+    return;
+  }
+  const std::lock_guard<std::mutex> lock(aTarget->coldMutex_);
+  auto& arrivals = aTarget->coldArrivals_;
+  arrivals.push_back(now);
+  while (arrivals.front() <= now - kColdWindowMs) {
+    arrivals.pop_front();
+  }
+  if (arrivals.size() > kColdLimit) {
+    book_->OnTooManyAtCold(aRequestId);
+  }
+}
+
 auto SoakFleet::AnswerOf(int aTarget, const std::string& aRequest)
   -> ScriptedAnswer
 {
@@ -81,6 +105,7 @@
   if (target.leftAt_ > 0 && NowMs() > target.leftAt_) {
     book_->OnLateAtLeaving(id);
   }
+  CheckColdRate(&target, id);
   book_->OnRun(id);
   std::string body = PromiseBook::BodyOf(id);
   if (aRequest.find("/talk/") != std::string::npos) {
@@ -200,6 +225,8 @@
   if (aWithSecondKey) {
     configuration.accounts_.push_back({ "shop", "k2" });
   }
+  configuration.coldStart_ = kColdStart;
+  configuration.coldPerSecond_ = kColdPerSecond;
   store_->TakeCopy();
   published_ = EncodeStandinConfiguration(configuration);
   store_->Put(std::string(kStandinConfigurationTopic), published_);
@@ -231,6 +258,27 @@
     NowMs() + aBound.count();
 }
 
+auto SoakFleet::DrainZoneOf(int aTarget, std::chrono::milliseconds aBound)
+  -> void
+{
+  store_->Put(std::string(kStandinConfigurationTopic),
+              EncodeStandinZoneDrain(fmt::format("z{}", aTarget % 2), true));
+  for (int i = aTarget % 2; i < options_.targets_; i += 2) {
+    targets_[static_cast<std::size_t>(i)]->leftAt_ = NowMs() + aBound.count();
+  }
+}
+
+auto SoakFleet::ReturnZoneOf(int aTarget) -> void
+{
+  for (int i = aTarget % 2; i < options_.targets_; i += 2) {
+    auto& target = *targets_[static_cast<std::size_t>(i)];
+    target.leftAt_ = 0;
+    target.coldUntil_ = NowMs() + kColdStart.count();
+  }
+  store_->Put(std::string(kStandinConfigurationTopic),
+              EncodeStandinZoneDrain(fmt::format("z{}", aTarget % 2), false));
+}
+
 auto SoakFleet::Heal() -> void
 {
   SetStoreFault(StoreFault::kNone);
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -11,7 +11,9 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <random>
 #include <string>
@@ -52,6 +54,10 @@
     std::unique_ptr<LoopbackProxy> link_;
     /// From when on it must get no more.
     std::atomic<std::int64_t> leftAt_{ 0 };
+    /// Until when it is cold, and its requests within the last second of that.
+    std::atomic<std::int64_t> coldUntil_{ 0 };
+    std::mutex coldMutex_;
+    std::deque<std::int64_t> coldArrivals_;
     /// How often of a thousand it misbehaves.
     std::atomic<int> faulty_{ 0 };
   };
@@ -69,6 +75,8 @@
   [[nodiscard]] auto PortOf(int aOffset) const -> std::uint16_t;
   auto WriteSettings(int aRouter) -> void;
   auto ListTarget(int aTarget, bool aLeaving) -> void;
+  /// Counts a request that came to a cold target.
+  auto CheckColdRate(Target* aTarget, const std::string& aRequestId) -> void;
   auto AnswerOf(int aTarget, const std::string& aRequest) -> ScriptedAnswer;
 
 public:
@@ -96,6 +104,10 @@
   auto Publish(bool aWithSecondKey) -> void;
   auto PutGarbage() -> void;
   auto DrainTarget(int aTarget, std::chrono::milliseconds aBound) -> void;
+  /// Drains the zone of a target; its targets must get no more after the bound.
+  auto DrainZoneOf(int aTarget, std::chrono::milliseconds aBound) -> void;
+  /// Takes the zone of a target back; its targets are cold.
+  auto ReturnZoneOf(int aTarget) -> void;
   /// Ends all faults.
   auto Heal() -> void;
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -28,6 +28,13 @@
 constexpr auto kRecoverTime = 6s;
 constexpr auto kDrainBound = 2000ms;
 constexpr auto kDrainWatch = 3500ms;
+/// The bound on how late a drained zone may get requests.
+constexpr auto kZoneDrainBound = 5000ms;
+constexpr auto kZoneDrainTime = 3000ms;
+constexpr auto kColdWatch = 2500ms;
+/// Their zones differ.
+constexpr int kLeavingTarget = 0;
+constexpr int kDrainedTarget = 1;
 constexpr int kLeastServed = 20;
 
 struct StoreFaultRow
@@ -215,8 +222,15 @@
     }
     std::this_thread::sleep_for(1s);
     const auto before = book.Served();
-    fleet.DrainTarget(0, kDrainBound);
+    fleet.DrainZoneOf(kDrainedTarget, kZoneDrainBound);
+    std::this_thread::sleep_for(kZoneDrainTime);
+    fleet.DrainTarget(kLeavingTarget, kDrainBound);
     std::this_thread::sleep_for(kDrainWatch);
+    // A router that restarts doesn't know what it sent to the cold targets.
+    fleet.ReturnZoneOf(kDrainedTarget);
+    fleet.Signal(0, SIGKILL);
+    fleet.Revive(0);
+    std::this_thread::sleep_for(kColdWatch);
     if (book.Served() - before < kLeastServed) {
       broken.emplace_back("callers are served again after the last fault");
     }
--- a/tests/support/forwarding_fixture.h
+++ b/tests/support/forwarding_fixture.h
@@ -55,11 +55,14 @@
 /// Makes a table with routes "read" (safe), "write" (unsafe, no key needed) and
 /// "talk" (a resumable stream), accounts "a" with key "key-a" and "b" with
 /// "key-b", and one service "pool", whose engines by default copy the KV cache
-/// of a token in 7 us.
+/// of a token in 7 us. With aColdStart its targets are cold after a start and
+/// tolerate aColdPerSecond requests per second until then.
 inline auto MakeTable(std::int64_t aVersion,
                       bool aEngines = true,
                       double aTokensPerSecond = 0,
-                      double aCopyMsPerToken = 0.007) -> RouteTablePointer
+                      double aCopyMsPerToken = 0.007,
+                      Duration aColdStart = 0us,
+                      double aColdPerSecond = 0) -> RouteTablePointer
 {
   RoutedService service;
   service.name_ = "pool";
@@ -68,6 +71,8 @@
   service.isEngine_ = aEngines;
   service.memoryTokens_ = aEngines ? 600'000 : 0;
   service.copyMsPerToken_ = aEngines ? aCopyMsPerToken : 0;
+  service.coldStart_ = aColdStart;
+  service.coldRequestsPerSecond_ = aColdPerSecond;
   auto stream = MakeRoute("talk", RouteKind::kStream);
   stream.resumable_ = true;
   auto write = MakeRoute("write", RouteKind::kUnsafe);
--- a/tests/support/router_zone.h
+++ b/tests/support/router_zone.h
@@ -46,6 +46,13 @@
     bool arePlain_ = false;
     /// Whether crashed engines vanish, so that connections time out.
     bool engineVanishes_ = false;
+    /// How long an engine is cold after a restart, the rate that it tolerates
+    /// then, and the limit of all routers together.
+    Duration coldStart_ = {};
+    double coldPerSecond_ = 0;
+    ColdStartLimits coldLimits_ = {};
+    /// Zone of every other target; the rest are in the routers' zone.
+    std::string otherTargetZone_ = "near";
   };
 
   /// How one request went.
@@ -118,6 +125,10 @@
   std::map<std::uint64_t, std::vector<Instant>> crashes_;
   std::map<RequestId, Outcome> outcomes_;
   std::map<TargetId, int> running_;
+  /// When requests reached each engine, and until when engines are cold.
+  std::map<TargetId, std::vector<Instant>> arrivals_;
+  std::map<TargetId, Instant> coldUntil_;
+  int maxColdArrivals_ = 0;
   std::map<std::string, std::size_t> hosts_;
   std::mt19937 random_;
   RequestId nextRequest_ = 1;
@@ -158,15 +169,20 @@
     auto& router = *routers_[aRouter];
     ForwardingOptions options;
     options.retries_ = { 0.2, 1000, 10s };
+    options.coldStarts_ = options_.coldLimits_;
     router.node_ = std::make_unique<ForwardingNode>(
       options, addresses_[aRouter], aIncarnation, &router.log_);
     for (int i = 0; i < options_.targets_; ++i) {
       const auto name = "t" + std::to_string(i);
-      router.node_->Directory().Put(name,
-                                    MakeTarget(name, "pool", options_.slots_));
+      auto target = MakeTarget(name, "pool", options_.slots_,
+                               i % 2 == 1 ? options_.otherTargetZone_ : "near");
+      target.coldLeft_ = 0us;
+      router.node_->Directory().Put(name, target);
     }
-    router.node_->OnConfiguration(MakeTable(5, options_.engines_), "text",
-                                  now_);
+    router.node_->OnConfiguration(MakeTable(5, options_.engines_, 0, 0.007,
+                                            options_.coldStart_,
+                                            options_.coldPerSecond_),
+                                  "text", now_);
   }
 
   auto SendDatagrams(const SendToRouters& aEffect) -> void
@@ -222,12 +238,30 @@
       return;
     }
     outcomes_[run.request_].sent_.push_back(now_);
+    RecordArrival(run.target_);
     routers_[aRouter]->node_->OnAttemptSent(run.request_, run.attempt_);
     maxRunning_ = std::max(maxRunning_, ++running_[run.target_]);
     firstEvents_.emplace(now_ + kFirstEvent, run);
     ends_.emplace(now_ + options_.runTime_, run);
   }
 
+  /// Records how many requests a cold engine got within the last second.
+  auto RecordArrival(TargetId aTarget) -> void
+  {
+    auto& times = arrivals_[aTarget];
+    times.push_back(now_);
+    std::erase_if(times, [&](Instant aAt) { return aAt <= now_ - 1s; });
+    const auto cold = coldUntil_.find(aTarget);
+    if (cold == coldUntil_.end() || now_ >= cold->second) {
+      return;
+    }
+    const auto coldFrom = cold->second - options_.coldStart_;
+    const auto count = static_cast<int>(
+      std::count_if(times.begin(), times.end(),
+                    [&](Instant aAt) { return aAt >= coldFrom; }));
+    maxColdArrivals_ = std::max(maxColdArrivals_, count);
+  }
+
   /// Removes the runs that match and returns them.
   template<typename Matches>
   auto EndRuns(Matches aMatches) -> std::vector<BrokenAttempt>
@@ -388,12 +422,19 @@
   {
     crashes_[aPart].push_back(now_);
     down_[aTarget] = now_ + kEngineRestart;
+    coldUntil_[aTarget] = down_[aTarget] + options_.coldStart_;
     for (const auto& ended : EndRuns(
            [&](const EngineRun& aRun) { return aRun.target_ == aTarget; })) {
       broken_.emplace(now_ + kStep, ended);
     }
   }
 
+  /// Has the engine turn cold without a sign.
+  auto TurnCold(TargetId aTarget) -> void
+  {
+    coldUntil_[aTarget] = now_ + options_.coldStart_;
+  }
+
   /// Breaks the connections of all runs at the engine, which stays up.
   auto ResetConnections(TargetId aTarget) -> void
   {
@@ -471,6 +512,18 @@
   [[nodiscard]] auto Starts() const -> int { return starts_; }
   [[nodiscard]] auto FailedRequests() const -> int { return failedRequests_; }
   [[nodiscard]] auto MaxRunning() const -> int { return maxRunning_; }
+  /// Most requests that reached a cold engine within one second.
+  [[nodiscard]] auto MaxColdArrivals() const -> int { return maxColdArrivals_; }
+  /// Requests that reached the engine within the last second.
+  [[nodiscard]] auto RecentArrivals(TargetId aTarget) const -> int
+  {
+    const auto found = arrivals_.find(aTarget);
+    return found == arrivals_.end()
+             ? 0
+             : static_cast<int>(
+                 std::count_if(found->second.begin(), found->second.end(),
+                               [&](Instant aAt) { return aAt > now_ - 1s; }));
+  }
   [[nodiscard]] auto Datagrams() const -> std::int64_t { return datagrams_; }
   [[nodiscard]] auto RunningAt(TargetId aTarget) const -> int
   {
