--- a/tests/platform/process_settings_test.cpp
+++ b/tests/platform/process_settings_test.cpp
@@ -8,7 +8,8 @@
 const std::string kSettings = R"({"nodeName":"front-1","ip":"10.1.0.33",
  "zone":"z","bind":{"front":"10.1.0.33:8783","ready":"10.1.0.33:8780"},
  "internalPorts":[7400,7415],"unknown":{"x":1},
- "bounds":{"revokeMs":5000,"drainMs":2000,"budgetSlack":56,"graceS":8},
+ "bounds":{"revokeMs":5000,"drainMs":2000,"budgetSlack":56,"coldOver":1.5,
+ "coldSlack":5,"graceS":8},
  "platform":{"address":"10.200.1.7:8781"}})";
 
 TEST(ProcessSettings, AreReadAndUnknownFieldsIgnored)
@@ -22,6 +23,8 @@
   EXPECT_EQ(settings->store_.address_.port_, 8781);
   EXPECT_EQ(settings->forwarding_.maxConfigAgeForKeys_, Duration(5s));
   EXPECT_DOUBLE_EQ(settings->forwarding_.retries_.slack_, 56);
+  EXPECT_DOUBLE_EQ(settings->forwarding_.coldStarts_.burstFactor_, 1.5);
+  EXPECT_DOUBLE_EQ(settings->forwarding_.coldStarts_.slack_, 5);
 }
 
 TEST(ProcessSettings, AllFindingsAreReportedTogether)
--- a/tests/platform/record_codec_test.cpp
+++ b/tests/platform/record_codec_test.cpp
@@ -111,6 +111,44 @@
   }
 }
 
+TEST(RecordCodec, ColdStartIsReadFromServicesAndEntries)
+{
+  const auto table = DecodeConfiguration(
+    R"({"version":1,"routes":[],"services":[
+        {"name":"s","coldStartS":3.0,"coldPerS":8.3},
+        {"name":"odd","coldStartS":-1,"coldPerS":"x"}]})");
+  ASSERT_TRUE(table.ok());
+  const auto* service = (*table)->FindService(MakeId<ServiceId>("s"));
+  ASSERT_NE(service, nullptr);
+  EXPECT_EQ(service->coldStart_, Duration(3s));
+  EXPECT_DOUBLE_EQ(service->coldRequestsPerSecond_, 8.3);
+  const auto* odd = (*table)->FindService(MakeId<ServiceId>("odd"));
+  ASSERT_NE(odd, nullptr);
+  EXPECT_EQ(odd->coldStart_, Duration(0));
+  EXPECT_DOUBLE_EQ(odd->coldRequestsPerSecond_, 0);
+  const std::string entry = R"({"service":"s","zone":"z","slots":4,
+    "state":"ready","born":7,"address":"10.0.0.1:80")";
+  const auto cold = DecodeTarget("i-1", entry + R"(,"coldLeftMs":1200})");
+  ASSERT_TRUE(cold.ok());
+  EXPECT_EQ(cold->coldLeft_, Duration(1200ms));
+  const auto silent = DecodeTarget("i-1", entry + "}");
+  ASSERT_TRUE(silent.ok());
+  EXPECT_FALSE(silent->coldLeft_);
+}
+
+TEST(RecordCodec, ZoneDrainBeginsAndEndsByItsRecord)
+{
+  const auto begins = DecodeZoneDrain({ "evacuate/rennes", "{}" });
+  ASSERT_TRUE(begins);
+  EXPECT_EQ(begins->zone_, MakeId<ZoneId>("rennes"));
+  EXPECT_TRUE(begins->isDrained_);
+  const auto ends = DecodeZoneDrain({ "evacuate/rennes", std::nullopt });
+  ASSERT_TRUE(ends);
+  EXPECT_FALSE(ends->isDrained_);
+  EXPECT_FALSE(DecodeZoneDrain({ "config", "{}" }));
+  EXPECT_FALSE(DecodeZoneDrain({ "evacuate/", "{}" }));
+}
+
 TEST(RecordCodec, AnotherStartUnderOneNameIsAnotherTarget)
 {
   const std::string head = R"({"service":"s","address":"10.0.0.1:80",
--- a/tests/platform/store_source_test.cpp
+++ b/tests/platform/store_source_test.cpp
@@ -5,6 +5,7 @@
 #include "support/forwarding_fixture.h"
 
 #include <gtest/gtest.h>
+#include <map>
 #include <set>
 #include <thread>
 
@@ -25,6 +26,8 @@
   StoreEpochTracker epoch_;
   std::vector<std::int64_t> versions_;
   std::set<std::string> targets_;
+  /// Whether each zone that a record named is drained.
+  std::map<std::string, bool> drains_;
   std::vector<RouterAddress> routers_;
   std::vector<wire::ListNews> news_;
   int confirmed_ = 0;
@@ -244,5 +247,21 @@
   EXPECT_FALSE(sink_.targets_.contains("i-3"));
 }
 
+// The records of drains come in the topic of the configuration, before the
+// first read, while it is followed, and as the end of a key.
+TEST_F(StoreSourceTest, ZoneDrainsAreReadWithTheConfiguration)
+{
+  store_.Put(kOperator, EncodeStandinZoneDrain("z1", true));
+  EXPECT_TRUE(RunUntil([&] { return sink_.drains_["z1"]; }));
+  store_.Put(kOperator, EncodeStandinZoneDrain("z2", true));
+  store_.Put(kOperator, EncodeStandinZoneDrain("z1", false));
+  EXPECT_TRUE(
+    RunUntil([&] { return sink_.drains_["z2"] && !sink_.drains_["z1"]; }));
+  const auto versions = sink_.versions_.size();
+  PutVersion(9);
+  EXPECT_TRUE(RunUntil([&] { return sink_.versions_.size() > versions; }));
+  EXPECT_TRUE(sink_.drains_["z2"]);
+}
+
 } // namespace
 } // namespace burdockring
