--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -842,6 +842,7 @@
     return order;
   }
   directory_.OnStoreRestored(aNow);
+  drains_.OnStoreEpoch(*aEpoch, aNow);
   config_.OnStoreRestored();
   config_.DistrustStoreUntil(aNow + kRewriteGracePeriod);
   peers_.ReportGone(directory_.GoneTargets(), aNow);
@@ -882,6 +883,18 @@
   ApplyDrainChanges(aNow);
 }
 
+auto ForwardingNode::OnPeerDrains(const wire::ZoneDrainList& aList,
+                                  Instant aNow) -> void
+{
+  // A list of an epoch that the store itself, or news from it, has not shown
+  // would outrank all that is read.
+  const auto newest = storeEpoch_.Newest();
+  if (!newest || aList.storeEpoch <= *newest) {
+    drains_.OnPeerList(aList, aNow);
+    ApplyDrainChanges(aNow);
+  }
+}
+
 auto ForwardingNode::ApplyDrainChanges(Instant aNow) -> void
 {
   for (const auto& change : drains_.TakeChanges()) {
@@ -923,7 +936,7 @@
                   { "hold_ms", ToMillis(kRewriteGracePeriod) } });
   }
   peers_.SetListed(aRouters, aNow);
-  dispatcher_.SetColdPlacers(peers_.Peers().ListedLeads());
+  dispatcher_.SetColdPlacers(peers_.Peers().ListedLeads(), aNow);
 }
 
 auto ForwardingNode::TimeToRead(SharedList aList,
@@ -945,7 +958,9 @@
   -> void
 {
   peers_.OnPeer(aEnvelope, aNow);
-  ApplyDrainChanges(aNow);
+  if (aEnvelope.__isset.load && aEnvelope.load.__isset.drains) {
+    OnPeerDrains(aEnvelope.load.drains, aNow);
+  }
   if (aEnvelope.__isset.load) {
     for (const auto target : aEnvelope.load.leaving) {
       directory_.MarkLeaving(TargetId{ target });
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -240,6 +240,7 @@
   auto Apply(const RejectDecision& aDecision, Instant aNow) -> void;
   auto ExpireRequests(Instant aNow) -> void;
   auto LogTargetChanges() -> void;
+  auto OnPeerDrains(const wire::ZoneDrainList& aList, Instant aNow) -> void;
   /// Has drains that began or ended take effect.
   auto ApplyDrainChanges(Instant aNow) -> void;
   /// Whether a router's entry is of an older store epoch: it was written before
--- a/src/process/membership/peer_table.cpp
+++ b/src/process/membership/peer_table.cpp
@@ -111,17 +111,17 @@
   }
 }
 
-auto PeerTable::MaxZoneLeads() const -> std::size_t
+auto PeerTable::MaxZoneLeads(std::size_t aZones) const -> std::size_t
 {
-  const auto zones = static_cast<int>(Zones().size());
-  return maxLeads_ == 0 ? peers_.size() + 1
-                        : static_cast<std::size_t>(
-                            std::max(kMinZoneLeads, maxLeads_ / zones));
+  return maxLeads_ == 0
+           ? peers_.size() + 1
+           : static_cast<std::size_t>(
+               std::max(kMinZoneLeads, maxLeads_ / static_cast<int>(aZones)));
 }
 
 auto PeerTable::ComputeLeads(ZoneId aZone) const -> ZoneLeads
 {
-  const auto maxZoneLeads = MaxZoneLeads();
+  const auto maxZoneLeads = MaxZoneLeads(Zones().size());
   std::vector<const RouterAddress*> live;
   std::vector<const RouterAddress*> unheard;
   for (const auto router : MembersOf(aZone)) {
@@ -518,19 +518,17 @@
 
 auto PeerTable::ListedLeads() const -> std::vector<RouterId>
 {
-  std::vector<RouterId> leads;
-  for (const auto zone : Zones()) {
-    std::vector<const RouterAddress*> listed;
-    for (const auto router : MembersOf(zone)) {
-      const auto& peer = peers_.at(router);
-      if (peer.listed_) {
-        listed.push_back(&peer.address_);
-      }
-    }
-    if (zone == self_.zone_) {
-      listed.push_back(&self_);
+  std::map<ZoneId, std::vector<const RouterAddress*>> listed;
+  listed[self_.zone_].push_back(&self_);
+  for (const auto& entry : peers_) {
+    if (entry.second.listed_) {
+      listed[entry.second.address_.zone_].push_back(&entry.second.address_);
     }
-    const auto selected = SelectLeads(std::move(listed), MaxZoneLeads());
+  }
+  const auto maxZoneLeads = MaxZoneLeads(listed.size());
+  std::vector<RouterId> leads;
+  for (auto& entry : listed) {
+    const auto selected = SelectLeads(std::move(entry.second), maxZoneLeads);
     leads.insert(leads.end(), selected.begin(), selected.end());
   }
   return leads;
--- a/src/process/membership/peer_table.h
+++ b/src/process/membership/peer_table.h
@@ -157,7 +157,7 @@
   auto CheckPeers(Instant aNow) -> void;
   [[nodiscard]] auto CachedLeads(ZoneId aZone) const -> const ZoneLeads&;
   [[nodiscard]] auto ComputeLeads(ZoneId aZone) const -> ZoneLeads;
-  [[nodiscard]] auto MaxZoneLeads() const -> std::size_t;
+  [[nodiscard]] auto MaxZoneLeads(std::size_t aZones) const -> std::size_t;
   /// Updates whether the peer's heartbeats are expected, and since when.
   auto UpdateMonitoring(RouterId aId, Peer* aPeer, Instant aNow) -> void;
   /// Routers of this router's zone to send heartbeats to.
--- a/src/process/peers/peer_exchange.cpp
+++ b/src/process/peers/peer_exchange.cpp
@@ -155,12 +155,14 @@
   if (aNow < reportGoneUntil_) {
     aEnvelope.load.gone = goneTargets_;
   }
-  if (const auto drains = drains_->List()) {
+  if (const auto drains = drains_->ListForPeers()) {
     aEnvelope.load.__set_drains(*drains);
   }
-  if (const auto cold = dispatcher_->ColdTargetList(aNow);
-      cold && peers_.IsLead()) {
-    aEnvelope.load.__set_cold(*cold);
+  if (peers_.IsLead() && aNow - lastColdList_ >= kColdListInterval) {
+    if (const auto cold = dispatcher_->ColdTargetList(aNow)) {
+      lastColdList_ = aNow;
+      aEnvelope.load.__set_cold(*cold);
+    }
   }
   if (peers_.IsLead() && quarantine_->HasRows()) {
     aEnvelope.load.__isset.crashes = true;
@@ -220,9 +222,6 @@
   if (aReport.__isset.cold) {
     dispatcher_->OnPeerColdTargets(aReport.cold, aNow);
   }
-  if (aReport.__isset.drains) {
-    drains_->OnPeerList(aReport.drains, aNow);
-  }
   if (aReport.stampMicros == 0) {
     return;
   }
--- a/src/process/peers/peer_exchange.h
+++ b/src/process/peers/peer_exchange.h
@@ -44,6 +44,9 @@
   static constexpr Duration kReportIntervalPerLead = 2ms;
   /// Interval between reports that also carry the age of the configuration.
   static constexpr Duration kTimestampedReportInterval = 400ms;
+  /// Interval between reports that also list the cold targets. Short against
+  /// the seconds that targets stay cold.
+  static constexpr Duration kColdListInterval = 800ms;
   static constexpr Duration kConfigRequestInterval = 300ms;
   /// Time after which a newer configuration that no peer has delivered is read
   /// from its source. Non-leads wait longer: the leads get it first, and not
@@ -88,6 +91,7 @@
   std::map<RouterId, PeerTimestamp> peerTimestamps_;
   Instant lastReport_{};
   Instant lastTimestampedReport_{};
+  Instant lastColdList_{};
   bool announcementDue_ = false;
   /// Targets that announced that they leave, with the number of reports that
   /// are still to announce it.
--- a/src/process/placement/cold_targets.cpp
+++ b/src/process/placement/cold_targets.cpp
@@ -3,6 +3,17 @@
 #include <algorithm>
 
 namespace burdockring {
+namespace {
+
+/// Unit of the time left in lists, and the most that a byte holds of it.
+constexpr Duration kListUnit = 50ms;
+constexpr std::int64_t kMaxUnits = 255;
+constexpr std::size_t kIdBytes = 4;
+constexpr unsigned kIdBits = 32;
+constexpr unsigned kByteBits = 8;
+constexpr std::uint32_t kByteMask = 0xff;
+
+} // namespace
 
 auto ColdTargets::IsCold(const State& aState, Instant aNow) -> bool
 {
@@ -11,29 +22,45 @@
           aNow < *aState.unverifiedSince_ + kMaxUnverified);
 }
 
-auto ColdTargets::Start(Duration aLongestWarmUp, Instant aNow) -> void
+auto ColdTargets::IsUninformed(Instant aNow) const -> bool
 {
-  if (!uninformedUntil_) {
-    uninformedUntil_ = aNow + aLongestWarmUp;
-  }
+  return !uninformedUntil_ || aNow < *uninformedUntil_;
 }
 
-auto ColdTargets::IsUninformed(Instant aNow) const -> bool
+auto ColdTargets::AppendRow(TargetId aTarget,
+                            Duration aLeft,
+                            wire::ColdTargetList* aList) -> bool
 {
-  return !uninformedUntil_ || aNow < *uninformedUntil_;
+  if (aList->left.size() >= kMaxListed) {
+    return false;
+  }
+  const auto units = std::clamp<std::int64_t>(aLeft / kListUnit, 0, kMaxUnits);
+  const auto id = static_cast<std::uint32_t>(aTarget.value_);
+  for (unsigned shift = 0; shift < kIdBits; shift += kByteBits) {
+    aList->targets += static_cast<char>((id >> shift) & kByteMask);
+  }
+  aList->left += static_cast<char>(units);
+  return true;
 }
 
 auto ColdTargets::OnPeerList(const wire::ColdTargetList& aList,
                              Duration aLongestWarmUp,
                              Instant aNow) -> void
 {
-  if (aList.targets.size() > kMaxListed) {
+  // Without a configuration this router can't tell which targets may be cold.
+  if (aLongestWarmUp <= 0us || aList.left.size() > kMaxListed ||
+      aList.targets.size() != aList.left.size() * kIdBytes) {
     return;
   }
-  for (const auto& row : aList.targets) {
-    const auto left =
-      std::clamp<Duration>(Duration(row.leftMicros), 0us, aLongestWarmUp);
-    MarkColdUntil(TargetId{ row.target }, aNow + left);
+  for (std::size_t i = 0; i < aList.left.size(); ++i) {
+    std::uint32_t id = 0;
+    for (std::size_t byte = kIdBytes; byte-- > 0;) {
+      id = (id << kByteBits) |
+           static_cast<unsigned char>(aList.targets[i * kIdBytes + byte]);
+    }
+    const Duration left = kListUnit * static_cast<unsigned char>(aList.left[i]);
+    MarkColdUntil(TargetId{ static_cast<std::int32_t>(id) },
+                  aNow + std::min(left, aLongestWarmUp));
   }
   if (aList.complete) {
     uninformedUntil_ = std::min(uninformedUntil_.value_or(aNow), aNow);
@@ -67,8 +94,13 @@
   }
 }
 
-auto ColdTargets::DropWarm(Instant aNow) -> void
+auto ColdTargets::Tick(Duration aLongestWarmUp, Instant aNow) -> void
 {
+  const bool wasSuspended = aNow - lastTick_ > kMaxTickGap;
+  if (!uninformedUntil_ || wasSuspended) {
+    uninformedUntil_ = aNow + aLongestWarmUp;
+  }
+  lastTick_ = aNow;
   std::erase_if(
     states_, [&](const auto& aEntry) { return !IsCold(aEntry.second, aNow); });
 }
--- a/src/process/placement/cold_targets.h
+++ b/src/process/placement/cold_targets.h
@@ -28,11 +28,14 @@
 class ColdTargets
 {
 public:
-  /// How long a target counts as cold without a success. A router that sends
+  /// How long a target counts as cold without a success. A router that may send
   /// it nothing would not see one.
-  static constexpr Duration kMaxUnverified = 10s;
-  /// Targets that one list of a peer may name.
-  static constexpr std::size_t kMaxListed = 20'000;
+  static constexpr Duration kMaxUnverified = 60s;
+  /// Targets that one list names; of more, a part is left out.
+  static constexpr std::size_t kMaxListed = 2000;
+  /// A router that was suspended for this long may have missed that targets
+  /// turned cold.
+  static constexpr Duration kMaxTickGap = 500ms;
 
 private:
   struct State
@@ -46,10 +49,9 @@
   /// Until when this router does not know which targets are cold. Unset before
   /// the first call of Start().
   std::optional<Instant> uninformedUntil_;
+  Instant lastTick_{};
 
 public:
-  /// The router has started, or learned how long targets stay cold at most.
-  auto Start(Duration aLongestWarmUp, Instant aNow) -> void;
   /// Whether all targets count as cold, as this router has just started.
   [[nodiscard]] auto IsUninformed(Instant aNow) const -> bool;
   /// What the peers need to know. aWarmUp(TargetId) returns how long a target
@@ -61,15 +63,16 @@
     wire::ColdTargetList list;
     list.complete = !IsUninformed(aNow);
     for (const auto& [target, state] : states_) {
+      if (!IsCold(state, aNow)) {
+        continue;
+      }
       // A target that is not verified has yet to warm up.
       const Duration left = state.unverifiedSince_
                               ? aWarmUp(target)
                               : Duration(state.coldUntil_ - aNow);
-      if (IsCold(state, aNow) && left > 0us) {
-        wire::ColdTargetRow row;
-        row.target = target.value_;
-        row.leftMicros = left.count();
-        list.targets.push_back(row);
+      if (!AppendRow(target, left, &list)) {
+        list.complete = false;
+        break;
       }
     }
     return list;
@@ -87,13 +90,17 @@
                  Instant aPlacedAt,
                  Duration aWarmUp,
                  Instant aNow) -> void;
-  /// Forgets targets that are warm.
-  auto DropWarm(Instant aNow) -> void;
+  /// Call often, and first when it is known how long targets stay cold at most.
+  auto Tick(Duration aLongestWarmUp, Instant aNow) -> void;
 
   [[nodiscard]] auto IsCold(TargetId aTarget, Instant aNow) const -> bool;
   [[nodiscard]] auto Count(Instant aNow) const -> std::size_t;
 
 private:
+  /// Returns whether there was room.
+  static auto AppendRow(TargetId aTarget,
+                        Duration aLeft,
+                        wire::ColdTargetList* aList) -> bool;
   [[nodiscard]] static auto IsCold(const State& aState, Instant aNow) -> bool;
 };
 
--- a/src/process/placement/dispatcher.cpp
+++ b/src/process/placement/dispatcher.cpp
@@ -75,9 +75,14 @@
       usable += static_cast<int>(directory_->Usable(entry.first).size());
     }
   }
+  // Without any usable engine there is no throughput to divide.
   const double fraction =
-    registered > 0 ? static_cast<double>(usable) / registered : 1.0;
-  shares_.SetTokensPerSecond(table_->TokensPerSecond() * fraction);
+    usable > 0 ? static_cast<double>(usable) / registered : 1.0;
+  const double throughput = table_->TokensPerSecond() * fraction;
+  if (throughput != throughput_) {
+    throughput_ = throughput;
+    shares_.SetTokensPerSecond(throughput);
+  }
 }
 
 auto Dispatcher::ColdStartServiceOf(TargetId aTarget) const
@@ -103,17 +108,19 @@
   return longest;
 }
 
-auto Dispatcher::HoldIfLimited(TargetId aTarget,
+auto Dispatcher::HoldIfLimited(const UsableTarget& aTarget,
                                const RoutedService& aService,
                                Instant aNow) -> void
 {
+  if (aTarget.load_->UnavailableUntil() > aNow) {
+    return;
+  }
   const auto allowed = coldLimiter_.NextAllowed(
-    aTarget, MaxColdRequests(coldLimits_, aService.coldRequestsPerSecond_),
-    aNow);
+    aTarget.listed_->addressId_,
+    MaxColdRequests(coldLimits_, aService.coldRequestsPerSecond_), aNow);
   const auto until = allowed.value_or(aNow + ColdStartLimiter::kWindow);
-  auto& load = loads_.At(aTarget);
-  coldHolds_ += load.UnavailableUntil() <= aNow && until > aNow ? 1 : 0;
-  load.SetHeldUntil(until);
+  coldHolds_ += until > aNow ? 1 : 0;
+  aTarget.load_->SetHeldUntil(until);
 }
 
 auto Dispatcher::HoldColdTargets(const RoutedService& aService, Instant aNow)
@@ -126,7 +133,7 @@
   for (const auto& target : TargetsOf(aService.id_)) {
     const auto id = target.listed_->id_;
     if (isUninformed || coldTargets_.IsCold(id, aNow)) {
-      HoldIfLimited(id, aService, aNow);
+      HoldIfLimited(target, aService, aNow);
     } else {
       target.load_->SetHeldUntil({});
     }
@@ -246,8 +253,8 @@
       ? 0
       : load.Total().prefillTokens_ + aCandidate.addedLoad_.prefillTokens_;
   load.Add(run.addedLoad_);
-  if (aService.coldStart_ > 0us) {
-    coldLimiter_.OnPlaced(run.target_, aNow);
+  if (HasColdStart(run.target_)) {
+    coldLimiter_.OnPlaced(directory_->Find(run.target_)->addressId_, aNow);
     coldPlacements_ += IsCold(run.target_, aNow) ? 1 : 0;
   }
   if (aService.isEngine_) {
@@ -393,6 +400,7 @@
 {
   table_ = std::move(aTable);
   targets_.clear();
+  throughput_.reset();
   UpdateThroughput();
 }
 
@@ -565,9 +573,10 @@
   coldLimits_ = aLimits;
 }
 
-auto Dispatcher::SetColdPlacers(std::vector<RouterId> aPlacers) -> void
+auto Dispatcher::SetColdPlacers(std::vector<RouterId> aPlacers, Instant aNow)
+  -> void
 {
-  coldLimiter_.SetPlacers(std::move(aPlacers));
+  coldLimiter_.SetPlacers(std::move(aPlacers), aNow);
 }
 
 auto Dispatcher::OnTargetLost(TargetId aTarget, Instant aNow) -> void
@@ -691,8 +700,7 @@
   }
   loads_.Tick(aNow);
   if (const auto warmUp = LongestWarmUp(); warmUp > 0us) {
-    coldTargets_.Start(warmUp, aNow);
-    coldTargets_.DropWarm(aNow);
+    coldTargets_.Tick(warmUp, aNow);
     coldLimiter_.Tick(aNow);
   }
 }
--- a/src/process/placement/dispatcher.h
+++ b/src/process/placement/dispatcher.h
@@ -179,6 +179,8 @@
   /// rejections by this router and by its peers.
   Instant ownPressureUntil_{};
   Instant peerPressureUntil_{};
+  /// The throughput that accounts share now.
+  std::optional<double> throughput_;
   ColdTargets coldTargets_;
   ColdStartLimiter coldLimiter_;
   ColdStartLimits coldLimits_;
@@ -208,7 +210,7 @@
   /// Holds back the targets of a service that are cold and whose rate limit is
   /// used.
   auto HoldColdTargets(const RoutedService& aService, Instant aNow) -> void;
-  auto HoldIfLimited(TargetId aTarget,
+  auto HoldIfLimited(const UsableTarget& aTarget,
                      const RoutedService& aService,
                      Instant aNow) -> void;
   /// Sorts by the tokens charged to the account, least first.
@@ -293,7 +295,7 @@
     -> void;
   auto SetColdStartLimits(const ColdStartLimits& aLimits) -> void;
   /// The routers that may place requests on cold targets.
-  auto SetColdPlacers(std::vector<RouterId> aPlacers) -> void;
+  auto SetColdPlacers(std::vector<RouterId> aPlacers, Instant aNow) -> void;
   /// An attempt failed in a way that a crash or restart of the target causes.
   auto OnTargetLost(TargetId aTarget, Instant aNow) -> void;
   /// The drain of a zone has ended: its targets may have restarted meanwhile.
--- a/src/process/placement/placement_client.cpp
+++ b/src/process/placement/placement_client.cpp
@@ -124,7 +124,8 @@
     pending.answerDeadline_ =
       std::max(dispatcher_->WaitDeadline(pending.item_), aNow) +
       kDecisionMargin;
-    pending.permitDeadline_ = pending.answerDeadline_;
+    pending.permitDeadline_ =
+      std::min<Instant>(pending.answerDeadline_, aNow + kMaxPermitAge);
     return;
   }
   if (const auto* start = std::get_if<StartDecision>(&*decision)) {
--- a/src/process/placement/placement_client.h
+++ b/src/process/placement/placement_client.h
@@ -44,6 +44,9 @@
   /// Time that a lead may take to answer beyond the wait deadline of a request
   /// that it has queued.
   static constexpr Duration kDecisionMargin = 60ms;
+  /// The longest time after a lead queued a request in which its placement on a
+  /// target with a rate limit may be used.
+  static constexpr Duration kMaxPermitAge = 300ms;
   /// How often a lead is sent the list of all its runs.
   static constexpr Duration kRunListInterval = 1s;
   /// How long a lead that did not answer is avoided; doubles with each
--- a/src/process/placement/target_directory.cpp
+++ b/src/process/placement/target_directory.cpp
@@ -5,6 +5,13 @@
 #include <utility>
 
 namespace burdockring {
+namespace {
+
+/// A registration that is repeated with less time left, but later than that,
+/// tells nothing new.
+constexpr Duration kColdTolerance = 300ms;
+
+} // namespace
 
 auto TargetDirectory::RecordChange(const RegisteredTarget& aTarget,
                                    std::string_view aChange) -> void
@@ -52,9 +59,17 @@
   const auto inserted = entries_.try_emplace(aKey);
   auto& entry = inserted.first->second;
   const bool startsLeaving = aTarget.leaving_ && !entry.target_.leaving_;
-  if (aTarget.coldLeft_.value_or(0us) > 0us) {
+  if (!aTarget.coldLeft_ && entry.target_.id_ == aTarget.id_) {
+    // A target that does not say how long it is cold has its warm-up from when
+    // it was first seen.
+    aTarget.registeredAt_ = entry.target_.registeredAt_;
+  }
+  if (aTarget.coldLeft_.value_or(0us) > 0us &&
+      aTarget.ColdUntil() > entry.target_.ColdUntil() + kColdTolerance) {
     ++version_;
   }
+  aTarget.addressId_ =
+    MakeId<TargetId>(aTarget.host_ + ':' + std::to_string(aTarget.port_));
   if (inserted.second) {
     RecordChange(aTarget, aTarget.leaving_ ? "leaving" : "added");
   } else if (startsLeaving) {
--- a/src/process/placement/target_directory.h
+++ b/src/process/placement/target_directory.h
@@ -32,6 +32,15 @@
   std::optional<Duration> coldLeft_;
   /// When this router received that.
   Instant registeredAt_{};
+  /// Identifies the address. A target that restarts there has another id, but
+  /// its rate limits go on. Set by the directory.
+  TargetId addressId_;
+
+  /// Until when the target is cold by its own word.
+  [[nodiscard]] auto ColdUntil() const -> Instant
+  {
+    return registeredAt_ + coldLeft_.value_or(0us);
+  }
 };
 
 /// A change to the targets that requests may be sent to.
--- a/src/process/placement/zone_drains.cpp
+++ b/src/process/placement/zone_drains.cpp
@@ -36,63 +36,62 @@
   return kSourceTable.at(static_cast<std::size_t>(aSource)).name_;
 }
 
-auto ZoneDrains::BeginEpochIfNew(std::int64_t aEpoch, Instant aNow) -> void
+auto ZoneDrains::OnStoreEpoch(std::int64_t aEpoch, Instant aNow) -> void
 {
-  const bool isNew = position_ && aEpoch > position_->epoch_ &&
-                     (!pending_ || aEpoch > pending_->position_.epoch_);
-  if (isNew) {
-    heldUntil_ = aNow + kRewriteGracePeriod;
-    pending_.reset();
+  if (!position_ || aEpoch <= position_->epoch_ || aEpoch <= heldEpoch_) {
+    return;
   }
+  heldEpoch_ = aEpoch;
+  heldUntil_ = aNow + kRewriteGracePeriod;
+  pending_.reset();
 }
 
-auto ZoneDrains::Apply(ZoneNames aZones,
-                       StorePosition aPosition,
-                       DrainSource aSource) -> void
+auto ZoneDrains::Apply(List aList) -> void
 {
-  for (const auto& [zone, name] : aZones) {
-    if (!zones_.contains(zone)) {
-      changes_.push_back({ zone, name, true, aSource, aPosition });
+  const auto report = [&](const auto& aEntry, bool aIsDrained) {
+    changes_.push_back({ aEntry.first, aEntry.second, aIsDrained, aList.source_,
+                         aList.position_ });
+  };
+  for (const auto& entry : aList.zones_) {
+    if (!zones_.contains(entry.first)) {
+      report(entry, true);
     }
   }
-  for (const auto& [zone, name] : zones_) {
-    if (!aZones.contains(zone)) {
-      changes_.push_back({ zone, name, false, aSource, aPosition });
+  for (const auto& entry : zones_) {
+    if (!aList.zones_.contains(entry.first)) {
+      report(entry, false);
     }
   }
-  if (aZones != zones_) {
-    ++version_;
-  }
-  zones_ = std::move(aZones);
-  position_ = aPosition;
+  zones_ = std::move(aList.zones_);
+  position_ = aList.position_;
 }
 
-auto ZoneDrains::Offer(ZoneNames aZones,
-                       StorePosition aPosition,
-                       DrainSource aSource,
-                       Instant aNow) -> void
+auto ZoneDrains::Offer(List aList, Instant aNow) -> bool
 {
-  BeginEpochIfNew(aPosition.epoch_, aNow);
-  const auto newest = pending_ ? pending_->position_ : position_;
-  if (newest && aPosition <= *newest) {
-    return;
-  }
-  if (heldUntil_) {
-    pending_ = PendingList{ std::move(aZones), aPosition, aSource };
-    return;
+  OnStoreEpoch(aList.position_.epoch_, aNow);
+  const bool isPending = heldUntil_ && aList.position_.isSettled_;
+  const auto newest = isPending && pending_ ? pending_->position_ : position_;
+  if (newest && aList.position_ <= *newest) {
+    return false;
+  }
+  if (isPending) {
+    pending_ = std::move(aList);
+  } else {
+    Apply(std::move(aList));
   }
-  Apply(std::move(aZones), aPosition, aSource);
+  return true;
 }
 
 auto ZoneDrains::OnSnapshot(const std::vector<ZoneDrainRecord>& aRecords,
                             StorePosition aPosition,
                             Instant aNow) -> void
 {
-  ZoneNames zones;
+  isInUse_ = isInUse_ || !aRecords.empty();
+  List list{ {}, aPosition, DrainSource::kStore };
   for (const auto& record : aRecords) {
-    ApplyRecord(record, &zones);
+    ApplyRecord(record, &list.zones_);
   }
-  Offer(std::move(zones), aPosition, DrainSource::kStore, aNow);
+  Offer(std::move(list), aNow);
 }
 
 auto ZoneDrains::OnRecords(const std::vector<ZoneDrainRecord>& aRecords,
@@ -102,20 +101,34 @@
   if (aRecords.empty()) {
     return;
   }
-  auto zones = pending_ ? pending_->zones_ : zones_;
+  isInUse_ = true;
+  OnStoreEpoch(aPosition.epoch_, aNow);
+  const auto knownBefore = zones_;
+  List list{ pending_ ? pending_->zones_ : zones_, aPosition,
+             DrainSource::kStore };
   for (const auto& record : aRecords) {
-    ApplyRecord(record, &zones);
+    ApplyRecord(record, &list.zones_);
   }
-  Offer(std::move(zones), aPosition, DrainSource::kStore, aNow);
-  if (!heldUntil_) {
+  if (!Offer(std::move(list), aNow)) {
     return;
   }
-  // Written in the new epoch, so it is no record of the older copy.
-  auto inForce = zones_;
+  if (heldUntil_) {
+    // Written in the new epoch, so these are no records of the older copy.
+    List inForce{ zones_, aPosition, DrainSource::kStore };
+    inForce.position_.isSettled_ = false;
+    for (const auto& record : aRecords) {
+      ApplyRecord(record, &inForce.zones_);
+    }
+    Apply(std::move(inForce));
+  }
   for (const auto& record : aRecords) {
-    ApplyRecord(record, &inForce);
+    // A drain that begins and ends within one read still has an end.
+    if (!record.isDrained_ && !knownBefore.contains(record.zone_) &&
+        !zones_.contains(record.zone_)) {
+      changes_.push_back(
+        { record.zone_, record.name_, false, DrainSource::kStore, aPosition });
+    }
   }
-  Apply(std::move(inForce), position_.value_or(aPosition), DrainSource::kStore);
 }
 
 auto ZoneDrains::OnPeerList(const wire::ZoneDrainList& aList, Instant aNow)
@@ -124,12 +137,14 @@
   if (aList.zones.size() > kMaxZones || aList.offset < 0) {
     return;
   }
-  ZoneNames zones;
+  isInUse_ = true;
+  List list{ {},
+             { aList.storeEpoch, aList.offset, !aList.held },
+             DrainSource::kPeer };
   for (const auto& row : aList.zones) {
-    zones.insert_or_assign(ZoneId{ row.zone }, row.name);
+    list.zones_.insert_or_assign(ZoneId{ row.zone }, row.name);
   }
-  Offer(std::move(zones), { aList.storeEpoch, aList.offset },
-        DrainSource::kPeer, aNow);
+  Offer(std::move(list), aNow);
 }
 
 auto ZoneDrains::Tick(Instant aNow) -> void
@@ -138,8 +153,9 @@
     return;
   }
   heldUntil_.reset();
-  if (auto pending = std::exchange(pending_, std::nullopt)) {
-    Apply(std::move(pending->zones_), pending->position_, pending->source_);
+  auto pending = std::exchange(pending_, std::nullopt);
+  if (pending && (!position_ || pending->position_ > *position_)) {
+    Apply(std::move(*pending));
   }
 }
 
@@ -153,14 +169,15 @@
   return zones_.size();
 }
 
-auto ZoneDrains::List() const -> std::optional<wire::ZoneDrainList>
+auto ZoneDrains::ListForPeers() const -> std::optional<wire::ZoneDrainList>
 {
-  if (!position_ || version_ == 1) {
+  if (!position_ || !isInUse_) {
     return std::nullopt;
   }
   wire::ZoneDrainList list;
   list.storeEpoch = position_->epoch_;
   list.offset = position_->offset_;
+  list.held = !position_->isSettled_;
   for (const auto& [zone, name] : zones_) {
     wire::ZoneDrainRow row;
     row.zone = zone.value_;
@@ -170,11 +187,6 @@
   return list;
 }
 
-auto ZoneDrains::Version() const -> std::int64_t
-{
-  return version_;
-}
-
 auto ZoneDrains::TakeChanges() -> std::vector<ZoneDrainChange>
 {
   return std::exchange(changes_, {});
--- a/src/process/placement/zone_drains.h
+++ b/src/process/placement/zone_drains.h
@@ -14,11 +14,14 @@
 
 namespace burdockring {
 
-/// A position in the store's records. Offsets count within one epoch.
+/// A position in the store's records. Offsets count within one epoch. The list
+/// that is in force while a router waits for what a restored store has lost
+/// comes before the settled one of the same offset.
 struct StorePosition
 {
   std::int64_t epoch_ = 0;
   std::int64_t offset_ = 0;
+  bool isSettled_ = true;
 
   friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
 };
@@ -72,8 +75,7 @@
 private:
   using ZoneNames = std::map<ZoneId, std::string>;
 
-  /// A list that takes effect when the grace period of a new epoch has ended.
-  struct PendingList
+  struct List
   {
     ZoneNames zones_;
     StorePosition position_;
@@ -82,22 +84,24 @@
 
   ZoneNames zones_;
   std::optional<StorePosition> position_;
-  /// End of the grace period after a restore, while there is one.
+  /// Epoch of the last grace period after a restore, and its end while it
+  /// lasts.
+  std::int64_t heldEpoch_ = 0;
   std::optional<Instant> heldUntil_;
-  std::optional<PendingList> pending_;
+  /// Whether a drain was ever heard of.
+  bool isInUse_ = false;
+  /// The list that takes effect when the grace period ends.
+  std::optional<List> pending_;
   std::vector<ZoneDrainChange> changes_;
-  std::int64_t version_ = 1;
 
-  auto BeginEpochIfNew(std::int64_t aEpoch, Instant aNow) -> void;
-  /// Takes the list, at once or after the grace period, if it is newer.
-  auto Offer(ZoneNames aZones,
-             StorePosition aPosition,
-             DrainSource aSource,
-             Instant aNow) -> void;
-  auto Apply(ZoneNames aZones, StorePosition aPosition, DrainSource aSource)
-    -> void;
+  /// Takes the list, at once or after the grace period, if it is newer. Returns
+  /// whether it did.
+  auto Offer(List aList, Instant aNow) -> bool;
+  auto Apply(List aList) -> void;
 
 public:
+  /// The store was restored from an older copy, or another router says so.
+  auto OnStoreEpoch(std::int64_t aEpoch, Instant aNow) -> void;
   /// All records of drains, read from the store as of the position.
   auto OnSnapshot(const std::vector<ZoneDrainRecord>& aRecords,
                   StorePosition aPosition,
@@ -114,9 +118,7 @@
   [[nodiscard]] auto Count() const -> std::size_t;
   /// The list for peers; empty while no drain has been seen, so that fleets
   /// without drains send nothing.
-  [[nodiscard]] auto List() const -> std::optional<wire::ZoneDrainList>;
-  /// Changes whenever a drain begins or ends.
-  [[nodiscard]] auto Version() const -> std::int64_t;
+  [[nodiscard]] auto ListForPeers() const -> std::optional<wire::ZoneDrainList>;
   /// Returns the changes since the last call and clears them.
   auto TakeChanges() -> std::vector<ZoneDrainChange>;
 };
--- a/src/process/rates/cold_start_limiter.cpp
+++ b/src/process/rates/cold_start_limiter.cpp
@@ -26,14 +26,37 @@
 {
 }
 
-auto ColdStartLimiter::SetPlacers(std::vector<RouterId> aPlacers) -> void
+auto ColdStartLimiter::SetPlacers(std::vector<RouterId> aPlacers, Instant aNow)
+  -> void
 {
-  placers_ = std::move(aPlacers);
+  std::sort(aPlacers.begin(), aPlacers.end());
+  if (aPlacers == placers_) {
+    return;
+  }
+  formerPlacers_ = std::exchange(placers_, std::move(aPlacers));
+  changedAt_ = aNow;
+  shares_.clear();
+}
+
+auto ColdStartLimiter::Share(TargetId aTarget,
+                             int aMaxRequests,
+                             Instant aNow) const -> int
+{
+  auto& known = shares_[aTarget];
+  if (known.maxRequests_ != aMaxRequests) {
+    known = { aMaxRequests, ShareAmong(placers_, aTarget, aMaxRequests),
+              ShareAmong(formerPlacers_, aTarget, aMaxRequests) };
+  }
+  const bool isSettled =
+    formerPlacers_.empty() || aNow >= changedAt_ + kListSettleTime;
+  return isSettled ? known.share_ : std::min(known.share_, known.formerShare_);
 }
 
-auto ColdStartLimiter::Share(TargetId aTarget, int aMaxRequests) const -> int
+auto ColdStartLimiter::ShareAmong(const std::vector<RouterId>& aPlacers,
+                                  TargetId aTarget,
+                                  int aMaxRequests) const -> int
 {
-  if (std::find(placers_.begin(), placers_.end(), self_) == placers_.end()) {
+  if (!std::binary_search(aPlacers.begin(), aPlacers.end(), self_)) {
     return 0;
   }
   const auto score = [&](RouterId aRouter) {
@@ -41,9 +64,9 @@
   };
   const auto own = score(self_);
   const auto rank = static_cast<int>(
-    std::count_if(placers_.begin(), placers_.end(),
+    std::count_if(aPlacers.begin(), aPlacers.end(),
                   [&](RouterId aRouter) { return score(aRouter) > own; }));
-  const auto placers = static_cast<int>(placers_.size());
+  const auto placers = static_cast<int>(aPlacers.size());
   const auto used = static_cast<int>(kUsedFraction * aMaxRequests);
   return used / placers + (rank < used % placers ? 1 : 0);
 }
@@ -52,7 +75,8 @@
                                    int aMaxRequests,
                                    Instant aNow) const -> std::optional<Instant>
 {
-  const auto share = static_cast<std::size_t>(Share(aTarget, aMaxRequests));
+  const auto share =
+    static_cast<std::size_t>(Share(aTarget, aMaxRequests, aNow));
   if (share == 0) {
     return std::nullopt;
   }
--- a/src/wire/gen/peer_types.cpp
+++ b/src/wire/gen/peer_types.cpp
@@ -3699,6 +3699,10 @@
 void ZoneDrainList::__set_zones(const std::vector<ZoneDrainRow> & val) {
   this->zones = val;
 }
+
+void ZoneDrainList::__set_held(const bool val) {
+  this->held = val;
+}
 std::ostream& operator<<(std::ostream& out, const ZoneDrainList& obj)
 {
   obj.printTo(out);
@@ -3763,6 +3767,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->held);
+          this->__isset.held = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3800,6 +3812,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->held);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3810,6 +3826,7 @@
   swap(a.storeEpoch, b.storeEpoch);
   swap(a.offset, b.offset);
   swap(a.zones, b.zones);
+  swap(a.held, b.held);
   swap(a.__isset, b.__isset);
 }
 
@@ -3817,12 +3834,14 @@
   storeEpoch = other122.storeEpoch;
   offset = other122.offset;
   zones = other122.zones;
+  held = other122.held;
   __isset = other122.__isset;
 }
 ZoneDrainList& ZoneDrainList::operator=(const ZoneDrainList& other123) {
   storeEpoch = other123.storeEpoch;
   offset = other123.offset;
   zones = other123.zones;
+  held = other123.held;
   __isset = other123.__isset;
   return *this;
 }
@@ -3832,118 +3851,7 @@
   out << "storeEpoch=" << to_string(storeEpoch);
   out << ", " << "offset=" << to_string(offset);
   out << ", " << "zones=" << to_string(zones);
-  out << ")";
-}
-
-
-ColdTargetRow::~ColdTargetRow() noexcept {
-}
-
-
-void ColdTargetRow::__set_target(const int32_t val) {
-  this->target = val;
-}
-
-void ColdTargetRow::__set_leftMicros(const int64_t val) {
-  this->leftMicros = val;
-}
-std::ostream& operator<<(std::ostream& out, const ColdTargetRow& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t ColdTargetRow::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->target);
-          this->__isset.target = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->leftMicros);
-          this->__isset.leftMicros = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t ColdTargetRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ColdTargetRow");
-
-  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->target);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("leftMicros", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->leftMicros);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(ColdTargetRow &a, ColdTargetRow &b) {
-  using ::std::swap;
-  swap(a.target, b.target);
-  swap(a.leftMicros, b.leftMicros);
-  swap(a.__isset, b.__isset);
-}
-
-ColdTargetRow::ColdTargetRow(const ColdTargetRow& other124) noexcept {
-  target = other124.target;
-  leftMicros = other124.leftMicros;
-  __isset = other124.__isset;
-}
-ColdTargetRow& ColdTargetRow::operator=(const ColdTargetRow& other125) noexcept {
-  target = other125.target;
-  leftMicros = other125.leftMicros;
-  __isset = other125.__isset;
-  return *this;
-}
-void ColdTargetRow::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "ColdTargetRow(";
-  out << "target=" << to_string(target);
-  out << ", " << "leftMicros=" << to_string(leftMicros);
+  out << ", " << "held=" << to_string(held);
   out << ")";
 }
 
@@ -3956,9 +3864,13 @@
   this->complete = val;
 }
 
-void ColdTargetList::__set_targets(const std::vector<ColdTargetRow> & val) {
+void ColdTargetList::__set_targets(const std::string& val) {
   this->targets = val;
 }
+
+void ColdTargetList::__set_left(const std::string& val) {
+  this->left = val;
+}
 std::ostream& operator<<(std::ostream& out, const ColdTargetList& obj)
 {
   obj.printTo(out);
@@ -3996,25 +3908,21 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->targets.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->targets.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
-            {
-              xfer += this->targets[_i130].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->targets);
           this->__isset.targets = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->left);
+          this->__isset.left = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4036,16 +3944,12 @@
   xfer += oprot->writeBool(this->complete);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<ColdTargetRow> ::const_iterator _iter131;
-    for (_iter131 = this->targets.begin(); _iter131 != this->targets.end(); ++_iter131)
-    {
-      xfer += (*_iter131).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->targets);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->left);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4057,18 +3961,21 @@
   using ::std::swap;
   swap(a.complete, b.complete);
   swap(a.targets, b.targets);
+  swap(a.left, b.left);
   swap(a.__isset, b.__isset);
 }
 
-ColdTargetList::ColdTargetList(const ColdTargetList& other132) {
-  complete = other132.complete;
-  targets = other132.targets;
-  __isset = other132.__isset;
+ColdTargetList::ColdTargetList(const ColdTargetList& other124) {
+  complete = other124.complete;
+  targets = other124.targets;
+  left = other124.left;
+  __isset = other124.__isset;
 }
-ColdTargetList& ColdTargetList::operator=(const ColdTargetList& other133) {
-  complete = other133.complete;
-  targets = other133.targets;
-  __isset = other133.__isset;
+ColdTargetList& ColdTargetList::operator=(const ColdTargetList& other125) {
+  complete = other125.complete;
+  targets = other125.targets;
+  left = other125.left;
+  __isset = other125.__isset;
   return *this;
 }
 void ColdTargetList::printTo(std::ostream& out) const {
@@ -4076,6 +3983,7 @@
   out << "ColdTargetList(";
   out << "complete=" << to_string(complete);
   out << ", " << "targets=" << to_string(targets);
+  out << ", " << "left=" << to_string(left);
   out << ")";
 }
 
@@ -4178,14 +4086,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->targets.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _etype129;
+            xfer += iprot->readListBegin(_etype129, _size126);
+            this->targets.resize(_size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
             {
-              xfer += this->targets[_i138].read(iprot);
+              xfer += this->targets[_i130].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4198,14 +4106,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accounts.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->accounts.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size131;
+            ::apache::thrift::protocol::TType _etype134;
+            xfer += iprot->readListBegin(_etype134, _size131);
+            this->accounts.resize(_size131);
+            uint32_t _i135;
+            for (_i135 = 0; _i135 < _size131; ++_i135)
             {
-              xfer += this->accounts[_i143].read(iprot);
+              xfer += this->accounts[_i135].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4258,14 +4166,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reads.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->reads.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->reads.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
             {
-              xfer += this->reads[_i148].read(iprot);
+              xfer += this->reads[_i140].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4286,14 +4194,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size149;
-            ::apache::thrift::protocol::TType _etype152;
-            xfer += iprot->readListBegin(_etype152, _size149);
-            this->leaving.resize(_size149);
-            uint32_t _i153;
-            for (_i153 = 0; _i153 < _size149; ++_i153)
+            uint32_t _size141;
+            ::apache::thrift::protocol::TType _etype144;
+            xfer += iprot->readListBegin(_etype144, _size141);
+            this->leaving.resize(_size141);
+            uint32_t _i145;
+            for (_i145 = 0; _i145 < _size141; ++_i145)
             {
-              xfer += iprot->readI32(this->leaving[_i153]);
+              xfer += iprot->readI32(this->leaving[_i145]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4306,14 +4214,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gone.clear();
-            uint32_t _size154;
-            ::apache::thrift::protocol::TType _etype157;
-            xfer += iprot->readListBegin(_etype157, _size154);
-            this->gone.resize(_size154);
-            uint32_t _i158;
-            for (_i158 = 0; _i158 < _size154; ++_i158)
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _etype149;
+            xfer += iprot->readListBegin(_etype149, _size146);
+            this->gone.resize(_size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
             {
-              xfer += iprot->readI32(this->gone[_i158]);
+              xfer += iprot->readI32(this->gone[_i150]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4374,10 +4282,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<TargetUse> ::const_iterator _iter159;
-    for (_iter159 = this->targets.begin(); _iter159 != this->targets.end(); ++_iter159)
+    std::vector<TargetUse> ::const_iterator _iter151;
+    for (_iter151 = this->targets.begin(); _iter151 != this->targets.end(); ++_iter151)
     {
-      xfer += (*_iter159).write(oprot);
+      xfer += (*_iter151).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4386,10 +4294,10 @@
   xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<AccountUse> ::const_iterator _iter160;
-    for (_iter160 = this->accounts.begin(); _iter160 != this->accounts.end(); ++_iter160)
+    std::vector<AccountUse> ::const_iterator _iter152;
+    for (_iter152 = this->accounts.begin(); _iter152 != this->accounts.end(); ++_iter152)
     {
-      xfer += (*_iter160).write(oprot);
+      xfer += (*_iter152).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4418,10 +4326,10 @@
   xfer += oprot->writeFieldBegin("reads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reads.size()));
-    std::vector<PartRead> ::const_iterator _iter161;
-    for (_iter161 = this->reads.begin(); _iter161 != this->reads.end(); ++_iter161)
+    std::vector<PartRead> ::const_iterator _iter153;
+    for (_iter153 = this->reads.begin(); _iter153 != this->reads.end(); ++_iter153)
     {
-      xfer += (*_iter161).write(oprot);
+      xfer += (*_iter153).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4434,10 +4342,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<int32_t> ::const_iterator _iter162;
-    for (_iter162 = this->leaving.begin(); _iter162 != this->leaving.end(); ++_iter162)
+    std::vector<int32_t> ::const_iterator _iter154;
+    for (_iter154 = this->leaving.begin(); _iter154 != this->leaving.end(); ++_iter154)
     {
-      xfer += oprot->writeI32((*_iter162));
+      xfer += oprot->writeI32((*_iter154));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4446,10 +4354,10 @@
   xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->gone.size()));
-    std::vector<int32_t> ::const_iterator _iter163;
-    for (_iter163 = this->gone.begin(); _iter163 != this->gone.end(); ++_iter163)
+    std::vector<int32_t> ::const_iterator _iter155;
+    for (_iter155 = this->gone.begin(); _iter155 != this->gone.end(); ++_iter155)
     {
-      xfer += oprot->writeI32((*_iter163));
+      xfer += oprot->writeI32((*_iter155));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4499,41 +4407,41 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadReport::LoadReport(const LoadReport& other164) {
-  targets = other164.targets;
-  accounts = other164.accounts;
-  configVersion = other164.configVersion;
-  configAgeMicros = other164.configAgeMicros;
-  stampMicros = other164.stampMicros;
-  echoMicros = other164.echoMicros;
-  pressed = other164.pressed;
-  reads = other164.reads;
-  partial = other164.partial;
-  leaving = other164.leaving;
-  gone = other164.gone;
-  echoIncarnation = other164.echoIncarnation;
-  crashes = other164.crashes;
-  drains = other164.drains;
-  cold = other164.cold;
-  __isset = other164.__isset;
-}
-LoadReport& LoadReport::operator=(const LoadReport& other165) {
-  targets = other165.targets;
-  accounts = other165.accounts;
-  configVersion = other165.configVersion;
-  configAgeMicros = other165.configAgeMicros;
-  stampMicros = other165.stampMicros;
-  echoMicros = other165.echoMicros;
-  pressed = other165.pressed;
-  reads = other165.reads;
-  partial = other165.partial;
-  leaving = other165.leaving;
-  gone = other165.gone;
-  echoIncarnation = other165.echoIncarnation;
-  crashes = other165.crashes;
-  drains = other165.drains;
-  cold = other165.cold;
-  __isset = other165.__isset;
+LoadReport::LoadReport(const LoadReport& other156) {
+  targets = other156.targets;
+  accounts = other156.accounts;
+  configVersion = other156.configVersion;
+  configAgeMicros = other156.configAgeMicros;
+  stampMicros = other156.stampMicros;
+  echoMicros = other156.echoMicros;
+  pressed = other156.pressed;
+  reads = other156.reads;
+  partial = other156.partial;
+  leaving = other156.leaving;
+  gone = other156.gone;
+  echoIncarnation = other156.echoIncarnation;
+  crashes = other156.crashes;
+  drains = other156.drains;
+  cold = other156.cold;
+  __isset = other156.__isset;
+}
+LoadReport& LoadReport::operator=(const LoadReport& other157) {
+  targets = other157.targets;
+  accounts = other157.accounts;
+  configVersion = other157.configVersion;
+  configAgeMicros = other157.configAgeMicros;
+  stampMicros = other157.stampMicros;
+  echoMicros = other157.echoMicros;
+  pressed = other157.pressed;
+  reads = other157.reads;
+  partial = other157.partial;
+  leaving = other157.leaving;
+  gone = other157.gone;
+  echoIncarnation = other157.echoIncarnation;
+  crashes = other157.crashes;
+  drains = other157.drains;
+  cold = other157.cold;
+  __isset = other157.__isset;
   return *this;
 }
 void LoadReport::printTo(std::ostream& out) const {
@@ -4726,14 +4634,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->partTokens.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->partTokens.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->partTokens.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += iprot->readI32(this->partTokens[_i170]);
+              xfer += iprot->readI32(this->partTokens[_i162]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4746,14 +4654,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tried.clear();
-            uint32_t _size171;
-            ::apache::thrift::protocol::TType _etype174;
-            xfer += iprot->readListBegin(_etype174, _size171);
-            this->tried.resize(_size171);
-            uint32_t _i175;
-            for (_i175 = 0; _i175 < _size171; ++_i175)
+            uint32_t _size163;
+            ::apache::thrift::protocol::TType _etype166;
+            xfer += iprot->readListBegin(_etype166, _size163);
+            this->tried.resize(_size163);
+            uint32_t _i167;
+            for (_i167 = 0; _i167 < _size163; ++_i167)
             {
-              xfer += iprot->readI32(this->tried[_i175]);
+              xfer += iprot->readI32(this->tried[_i167]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4830,10 +4738,10 @@
   xfer += oprot->writeFieldBegin("partTokens", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->partTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter176;
-    for (_iter176 = this->partTokens.begin(); _iter176 != this->partTokens.end(); ++_iter176)
+    std::vector<int32_t> ::const_iterator _iter168;
+    for (_iter168 = this->partTokens.begin(); _iter168 != this->partTokens.end(); ++_iter168)
     {
-      xfer += oprot->writeI32((*_iter176));
+      xfer += oprot->writeI32((*_iter168));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4842,10 +4750,10 @@
   xfer += oprot->writeFieldBegin("tried", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->tried.size()));
-    std::vector<int32_t> ::const_iterator _iter177;
-    for (_iter177 = this->tried.begin(); _iter177 != this->tried.end(); ++_iter177)
+    std::vector<int32_t> ::const_iterator _iter169;
+    for (_iter169 = this->tried.begin(); _iter169 != this->tried.end(); ++_iter169)
     {
-      xfer += oprot->writeI32((*_iter177));
+      xfer += oprot->writeI32((*_iter169));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4879,37 +4787,37 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAsk::PlaceAsk(const PlaceAsk& other178) {
-  request = other178.request;
-  serviceId = other178.serviceId;
-  account = other178.account;
-  aimMicros = other178.aimMicros;
-  waitedMicros = other178.waitedMicros;
-  patienceMicros = other178.patienceMicros;
-  goesOn = other178.goesOn;
-  promptTokens = other178.promptTokens;
-  outputTokens = other178.outputTokens;
-  parts = other178.parts;
-  partTokens = other178.partTokens;
-  tried = other178.tried;
-  maxGapMicros = other178.maxGapMicros;
-  __isset = other178.__isset;
-}
-PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other179) {
-  request = other179.request;
-  serviceId = other179.serviceId;
-  account = other179.account;
-  aimMicros = other179.aimMicros;
-  waitedMicros = other179.waitedMicros;
-  patienceMicros = other179.patienceMicros;
-  goesOn = other179.goesOn;
-  promptTokens = other179.promptTokens;
-  outputTokens = other179.outputTokens;
-  parts = other179.parts;
-  partTokens = other179.partTokens;
-  tried = other179.tried;
-  maxGapMicros = other179.maxGapMicros;
-  __isset = other179.__isset;
+PlaceAsk::PlaceAsk(const PlaceAsk& other170) {
+  request = other170.request;
+  serviceId = other170.serviceId;
+  account = other170.account;
+  aimMicros = other170.aimMicros;
+  waitedMicros = other170.waitedMicros;
+  patienceMicros = other170.patienceMicros;
+  goesOn = other170.goesOn;
+  promptTokens = other170.promptTokens;
+  outputTokens = other170.outputTokens;
+  parts = other170.parts;
+  partTokens = other170.partTokens;
+  tried = other170.tried;
+  maxGapMicros = other170.maxGapMicros;
+  __isset = other170.__isset;
+}
+PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other171) {
+  request = other171.request;
+  serviceId = other171.serviceId;
+  account = other171.account;
+  aimMicros = other171.aimMicros;
+  waitedMicros = other171.waitedMicros;
+  patienceMicros = other171.patienceMicros;
+  goesOn = other171.goesOn;
+  promptTokens = other171.promptTokens;
+  outputTokens = other171.outputTokens;
+  parts = other171.parts;
+  partTokens = other171.partTokens;
+  tried = other171.tried;
+  maxGapMicros = other171.maxGapMicros;
+  __isset = other171.__isset;
   return *this;
 }
 void PlaceAsk::printTo(std::ostream& out) const {
@@ -5160,31 +5068,31 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAnswer::PlaceAnswer(const PlaceAnswer& other180) noexcept {
-  request = other180.request;
-  outcome = other180.outcome;
-  target = other180.target;
-  copyFrom = other180.copyFrom;
-  expectedWaitMicros = other180.expectedWaitMicros;
-  reason = other180.reason;
-  retryAfterMicros = other180.retryAfterMicros;
-  prefillTokens = other180.prefillTokens;
-  memoryTokens = other180.memoryTokens;
-  standing = other180.standing;
-  __isset = other180.__isset;
-}
-PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other181) noexcept {
-  request = other181.request;
-  outcome = other181.outcome;
-  target = other181.target;
-  copyFrom = other181.copyFrom;
-  expectedWaitMicros = other181.expectedWaitMicros;
-  reason = other181.reason;
-  retryAfterMicros = other181.retryAfterMicros;
-  prefillTokens = other181.prefillTokens;
-  memoryTokens = other181.memoryTokens;
-  standing = other181.standing;
-  __isset = other181.__isset;
+PlaceAnswer::PlaceAnswer(const PlaceAnswer& other172) noexcept {
+  request = other172.request;
+  outcome = other172.outcome;
+  target = other172.target;
+  copyFrom = other172.copyFrom;
+  expectedWaitMicros = other172.expectedWaitMicros;
+  reason = other172.reason;
+  retryAfterMicros = other172.retryAfterMicros;
+  prefillTokens = other172.prefillTokens;
+  memoryTokens = other172.memoryTokens;
+  standing = other172.standing;
+  __isset = other172.__isset;
+}
+PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other173) noexcept {
+  request = other173.request;
+  outcome = other173.outcome;
+  target = other173.target;
+  copyFrom = other173.copyFrom;
+  expectedWaitMicros = other173.expectedWaitMicros;
+  reason = other173.reason;
+  retryAfterMicros = other173.retryAfterMicros;
+  prefillTokens = other173.prefillTokens;
+  memoryTokens = other173.memoryTokens;
+  standing = other173.standing;
+  __isset = other173.__isset;
   return *this;
 }
 void PlaceAnswer::printTo(std::ostream& out) const {
@@ -5332,19 +5240,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ReportedTargetLoad::ReportedTargetLoad(const ReportedTargetLoad& other182) noexcept {
-  running = other182.running;
-  waiting = other182.waiting;
-  slots = other182.slots;
-  slownessPercent = other182.slownessPercent;
-  __isset = other182.__isset;
+ReportedTargetLoad::ReportedTargetLoad(const ReportedTargetLoad& other174) noexcept {
+  running = other174.running;
+  waiting = other174.waiting;
+  slots = other174.slots;
+  slownessPercent = other174.slownessPercent;
+  __isset = other174.__isset;
 }
-ReportedTargetLoad& ReportedTargetLoad::operator=(const ReportedTargetLoad& other183) noexcept {
-  running = other183.running;
-  waiting = other183.waiting;
-  slots = other183.slots;
-  slownessPercent = other183.slownessPercent;
-  __isset = other183.__isset;
+ReportedTargetLoad& ReportedTargetLoad::operator=(const ReportedTargetLoad& other175) noexcept {
+  running = other175.running;
+  waiting = other175.waiting;
+  slots = other175.slots;
+  slownessPercent = other175.slownessPercent;
+  __isset = other175.__isset;
   return *this;
 }
 void ReportedTargetLoad::printTo(std::ostream& out) const {
@@ -5505,21 +5413,21 @@
   swap(a.__isset, b.__isset);
 }
 
-RunNote::RunNote(const RunNote& other184) noexcept {
-  request = other184.request;
-  event = other184.event;
-  restMicros = other184.restMicros;
-  load = other184.load;
-  mayHaveRestarted = other184.mayHaveRestarted;
-  __isset = other184.__isset;
-}
-RunNote& RunNote::operator=(const RunNote& other185) noexcept {
-  request = other185.request;
-  event = other185.event;
-  restMicros = other185.restMicros;
-  load = other185.load;
-  mayHaveRestarted = other185.mayHaveRestarted;
-  __isset = other185.__isset;
+RunNote::RunNote(const RunNote& other176) noexcept {
+  request = other176.request;
+  event = other176.event;
+  restMicros = other176.restMicros;
+  load = other176.load;
+  mayHaveRestarted = other176.mayHaveRestarted;
+  __isset = other176.__isset;
+}
+RunNote& RunNote::operator=(const RunNote& other177) noexcept {
+  request = other177.request;
+  event = other177.event;
+  restMicros = other177.restMicros;
+  load = other177.load;
+  mayHaveRestarted = other177.mayHaveRestarted;
+  __isset = other177.__isset;
   return *this;
 }
 void RunNote::printTo(std::ostream& out) const {
@@ -5677,21 +5585,21 @@
   swap(a.__isset, b.__isset);
 }
 
-RunRow::RunRow(const RunRow& other186) noexcept {
-  request = other186.request;
-  target = other186.target;
-  prefillTokens = other186.prefillTokens;
-  memoryTokens = other186.memoryTokens;
-  begun = other186.begun;
-  __isset = other186.__isset;
-}
-RunRow& RunRow::operator=(const RunRow& other187) noexcept {
-  request = other187.request;
-  target = other187.target;
-  prefillTokens = other187.prefillTokens;
-  memoryTokens = other187.memoryTokens;
-  begun = other187.begun;
-  __isset = other187.__isset;
+RunRow::RunRow(const RunRow& other178) noexcept {
+  request = other178.request;
+  target = other178.target;
+  prefillTokens = other178.prefillTokens;
+  memoryTokens = other178.memoryTokens;
+  begun = other178.begun;
+  __isset = other178.__isset;
+}
+RunRow& RunRow::operator=(const RunRow& other179) noexcept {
+  request = other179.request;
+  target = other179.target;
+  prefillTokens = other179.prefillTokens;
+  memoryTokens = other179.memoryTokens;
+  begun = other179.begun;
+  __isset = other179.__isset;
   return *this;
 }
 void RunRow::printTo(std::ostream& out) const {
@@ -5761,14 +5669,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->asks.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _etype183;
+            xfer += iprot->readListBegin(_etype183, _size180);
+            this->asks.resize(_size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
             {
-              xfer += this->asks[_i192].read(iprot);
+              xfer += this->asks[_i184].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5781,14 +5689,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size193;
-            ::apache::thrift::protocol::TType _etype196;
-            xfer += iprot->readListBegin(_etype196, _size193);
-            this->answers.resize(_size193);
-            uint32_t _i197;
-            for (_i197 = 0; _i197 < _size193; ++_i197)
+            uint32_t _size185;
+            ::apache::thrift::protocol::TType _etype188;
+            xfer += iprot->readListBegin(_etype188, _size185);
+            this->answers.resize(_size185);
+            uint32_t _i189;
+            for (_i189 = 0; _i189 < _size185; ++_i189)
             {
-              xfer += this->answers[_i197].read(iprot);
+              xfer += this->answers[_i189].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5801,14 +5709,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->notes.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->notes.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size190;
+            ::apache::thrift::protocol::TType _etype193;
+            xfer += iprot->readListBegin(_etype193, _size190);
+            this->notes.resize(_size190);
+            uint32_t _i194;
+            for (_i194 = 0; _i194 < _size190; ++_i194)
             {
-              xfer += this->notes[_i202].read(iprot);
+              xfer += this->notes[_i194].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5829,14 +5737,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size203;
-            ::apache::thrift::protocol::TType _etype206;
-            xfer += iprot->readListBegin(_etype206, _size203);
-            this->runs.resize(_size203);
-            uint32_t _i207;
-            for (_i207 = 0; _i207 < _size203; ++_i207)
+            uint32_t _size195;
+            ::apache::thrift::protocol::TType _etype198;
+            xfer += iprot->readListBegin(_etype198, _size195);
+            this->runs.resize(_size195);
+            uint32_t _i199;
+            for (_i199 = 0; _i199 < _size195; ++_i199)
             {
-              xfer += this->runs[_i207].read(iprot);
+              xfer += this->runs[_i199].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5865,10 +5773,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<PlaceAsk> ::const_iterator _iter208;
-    for (_iter208 = this->asks.begin(); _iter208 != this->asks.end(); ++_iter208)
+    std::vector<PlaceAsk> ::const_iterator _iter200;
+    for (_iter200 = this->asks.begin(); _iter200 != this->asks.end(); ++_iter200)
     {
-      xfer += (*_iter208).write(oprot);
+      xfer += (*_iter200).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5877,10 +5785,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<PlaceAnswer> ::const_iterator _iter209;
-    for (_iter209 = this->answers.begin(); _iter209 != this->answers.end(); ++_iter209)
+    std::vector<PlaceAnswer> ::const_iterator _iter201;
+    for (_iter201 = this->answers.begin(); _iter201 != this->answers.end(); ++_iter201)
     {
-      xfer += (*_iter209).write(oprot);
+      xfer += (*_iter201).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5889,10 +5797,10 @@
   xfer += oprot->writeFieldBegin("notes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notes.size()));
-    std::vector<RunNote> ::const_iterator _iter210;
-    for (_iter210 = this->notes.begin(); _iter210 != this->notes.end(); ++_iter210)
+    std::vector<RunNote> ::const_iterator _iter202;
+    for (_iter202 = this->notes.begin(); _iter202 != this->notes.end(); ++_iter202)
     {
-      xfer += (*_iter210).write(oprot);
+      xfer += (*_iter202).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5905,10 +5813,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<RunRow> ::const_iterator _iter211;
-    for (_iter211 = this->runs.begin(); _iter211 != this->runs.end(); ++_iter211)
+    std::vector<RunRow> ::const_iterator _iter203;
+    for (_iter203 = this->runs.begin(); _iter203 != this->runs.end(); ++_iter203)
     {
-      xfer += (*_iter211).write(oprot);
+      xfer += (*_iter203).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5929,21 +5837,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Placement::Placement(const Placement& other212) {
-  asks = other212.asks;
-  answers = other212.answers;
-  notes = other212.notes;
-  whole = other212.whole;
-  runs = other212.runs;
-  __isset = other212.__isset;
-}
-Placement& Placement::operator=(const Placement& other213) {
-  asks = other213.asks;
-  answers = other213.answers;
-  notes = other213.notes;
-  whole = other213.whole;
-  runs = other213.runs;
-  __isset = other213.__isset;
+Placement::Placement(const Placement& other204) {
+  asks = other204.asks;
+  answers = other204.answers;
+  notes = other204.notes;
+  whole = other204.whole;
+  runs = other204.runs;
+  __isset = other204.__isset;
+}
+Placement& Placement::operator=(const Placement& other205) {
+  asks = other205.asks;
+  answers = other205.answers;
+  notes = other205.notes;
+  whole = other205.whole;
+  runs = other205.runs;
+  __isset = other205.__isset;
   return *this;
 }
 void Placement::printTo(std::ostream& out) const {
@@ -6120,23 +6028,23 @@
   swap(a.__isset, b.__isset);
 }
 
-ListNews::ListNews(const ListNews& other214) {
-  sharedList = other214.sharedList;
-  fromOffset = other214.fromOffset;
-  toOffset = other214.toOffset;
-  reachable = other214.reachable;
-  batch = other214.batch;
-  storeEpoch = other214.storeEpoch;
-  __isset = other214.__isset;
-}
-ListNews& ListNews::operator=(const ListNews& other215) {
-  sharedList = other215.sharedList;
-  fromOffset = other215.fromOffset;
-  toOffset = other215.toOffset;
-  reachable = other215.reachable;
-  batch = other215.batch;
-  storeEpoch = other215.storeEpoch;
-  __isset = other215.__isset;
+ListNews::ListNews(const ListNews& other206) {
+  sharedList = other206.sharedList;
+  fromOffset = other206.fromOffset;
+  toOffset = other206.toOffset;
+  reachable = other206.reachable;
+  batch = other206.batch;
+  storeEpoch = other206.storeEpoch;
+  __isset = other206.__isset;
+}
+ListNews& ListNews::operator=(const ListNews& other207) {
+  sharedList = other207.sharedList;
+  fromOffset = other207.fromOffset;
+  toOffset = other207.toOffset;
+  reachable = other207.reachable;
+  batch = other207.batch;
+  storeEpoch = other207.storeEpoch;
+  __isset = other207.__isset;
   return *this;
 }
 void ListNews::printTo(std::ostream& out) const {
@@ -6207,14 +6115,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size216;
-            ::apache::thrift::protocol::TType _etype219;
-            xfer += iprot->readListBegin(_etype219, _size216);
-            this->waiting.resize(_size216);
-            uint32_t _i220;
-            for (_i220 = 0; _i220 < _size216; ++_i220)
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->waiting.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
             {
-              xfer += iprot->readI32(this->waiting[_i220]);
+              xfer += iprot->readI32(this->waiting[_i212]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6227,14 +6135,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->charged.clear();
-            uint32_t _size221;
-            ::apache::thrift::protocol::TType _etype224;
-            xfer += iprot->readListBegin(_etype224, _size221);
-            this->charged.resize(_size221);
-            uint32_t _i225;
-            for (_i225 = 0; _i225 < _size221; ++_i225)
+            uint32_t _size213;
+            ::apache::thrift::protocol::TType _etype216;
+            xfer += iprot->readListBegin(_etype216, _size213);
+            this->charged.resize(_size213);
+            uint32_t _i217;
+            for (_i217 = 0; _i217 < _size213; ++_i217)
             {
-              xfer += iprot->readI64(this->charged[_i225]);
+              xfer += iprot->readI64(this->charged[_i217]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6267,10 +6175,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<int32_t> ::const_iterator _iter226;
-    for (_iter226 = this->waiting.begin(); _iter226 != this->waiting.end(); ++_iter226)
+    std::vector<int32_t> ::const_iterator _iter218;
+    for (_iter218 = this->waiting.begin(); _iter218 != this->waiting.end(); ++_iter218)
     {
-      xfer += oprot->writeI32((*_iter226));
+      xfer += oprot->writeI32((*_iter218));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6279,10 +6187,10 @@
   xfer += oprot->writeFieldBegin("charged", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->charged.size()));
-    std::vector<int64_t> ::const_iterator _iter227;
-    for (_iter227 = this->charged.begin(); _iter227 != this->charged.end(); ++_iter227)
+    std::vector<int64_t> ::const_iterator _iter219;
+    for (_iter219 = this->charged.begin(); _iter219 != this->charged.end(); ++_iter219)
     {
-      xfer += oprot->writeI64((*_iter227));
+      xfer += oprot->writeI64((*_iter219));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6301,17 +6209,17 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandColumns::DemandColumns(const DemandColumns& other228) {
-  accounts = other228.accounts;
-  waiting = other228.waiting;
-  charged = other228.charged;
-  __isset = other228.__isset;
+DemandColumns::DemandColumns(const DemandColumns& other220) {
+  accounts = other220.accounts;
+  waiting = other220.waiting;
+  charged = other220.charged;
+  __isset = other220.__isset;
 }
-DemandColumns& DemandColumns::operator=(const DemandColumns& other229) {
-  accounts = other229.accounts;
-  waiting = other229.waiting;
-  charged = other229.charged;
-  __isset = other229.__isset;
+DemandColumns& DemandColumns::operator=(const DemandColumns& other221) {
+  accounts = other221.accounts;
+  waiting = other221.waiting;
+  charged = other221.charged;
+  __isset = other221.__isset;
   return *this;
 }
 void DemandColumns::printTo(std::ostream& out) const {
@@ -6379,14 +6287,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size230;
-            ::apache::thrift::protocol::TType _etype233;
-            xfer += iprot->readListBegin(_etype233, _size230);
-            this->held.resize(_size230);
-            uint32_t _i234;
-            for (_i234 = 0; _i234 < _size230; ++_i234)
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->held.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
             {
-              xfer += iprot->readI32(this->held[_i234]);
+              xfer += iprot->readI32(this->held[_i226]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6399,14 +6307,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->idle.clear();
-            uint32_t _size235;
-            ::apache::thrift::protocol::TType _etype238;
-            xfer += iprot->readListBegin(_etype238, _size235);
-            this->idle.resize(_size235);
-            uint32_t _i239;
-            for (_i239 = 0; _i239 < _size235; ++_i239)
+            uint32_t _size227;
+            ::apache::thrift::protocol::TType _etype230;
+            xfer += iprot->readListBegin(_etype230, _size227);
+            this->idle.resize(_size227);
+            uint32_t _i231;
+            for (_i231 = 0; _i231 < _size227; ++_i231)
             {
-              xfer += iprot->readI32(this->idle[_i239]);
+              xfer += iprot->readI32(this->idle[_i231]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6439,10 +6347,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->held.size()));
-    std::vector<int32_t> ::const_iterator _iter240;
-    for (_iter240 = this->held.begin(); _iter240 != this->held.end(); ++_iter240)
+    std::vector<int32_t> ::const_iterator _iter232;
+    for (_iter232 = this->held.begin(); _iter232 != this->held.end(); ++_iter232)
     {
-      xfer += oprot->writeI32((*_iter240));
+      xfer += oprot->writeI32((*_iter232));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6451,10 +6359,10 @@
   xfer += oprot->writeFieldBegin("idle", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->idle.size()));
-    std::vector<int32_t> ::const_iterator _iter241;
-    for (_iter241 = this->idle.begin(); _iter241 != this->idle.end(); ++_iter241)
+    std::vector<int32_t> ::const_iterator _iter233;
+    for (_iter233 = this->idle.begin(); _iter233 != this->idle.end(); ++_iter233)
     {
-      xfer += oprot->writeI32((*_iter241));
+      xfer += oprot->writeI32((*_iter233));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6473,17 +6381,17 @@
   swap(a.__isset, b.__isset);
 }
 
-HeldColumns::HeldColumns(const HeldColumns& other242) {
-  targets = other242.targets;
-  held = other242.held;
-  idle = other242.idle;
-  __isset = other242.__isset;
+HeldColumns::HeldColumns(const HeldColumns& other234) {
+  targets = other234.targets;
+  held = other234.held;
+  idle = other234.idle;
+  __isset = other234.__isset;
 }
-HeldColumns& HeldColumns::operator=(const HeldColumns& other243) {
-  targets = other243.targets;
-  held = other243.held;
-  idle = other243.idle;
-  __isset = other243.__isset;
+HeldColumns& HeldColumns::operator=(const HeldColumns& other235) {
+  targets = other235.targets;
+  held = other235.held;
+  idle = other235.idle;
+  __isset = other235.__isset;
   return *this;
 }
 void HeldColumns::printTo(std::ostream& out) const {
@@ -6551,14 +6459,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size244;
-            ::apache::thrift::protocol::TType _etype247;
-            xfer += iprot->readListBegin(_etype247, _size244);
-            this->counts.resize(_size244);
-            uint32_t _i248;
-            for (_i248 = 0; _i248 < _size244; ++_i248)
+            uint32_t _size236;
+            ::apache::thrift::protocol::TType _etype239;
+            xfer += iprot->readListBegin(_etype239, _size236);
+            this->counts.resize(_size236);
+            uint32_t _i240;
+            for (_i240 = 0; _i240 < _size236; ++_i240)
             {
-              xfer += iprot->readI32(this->counts[_i248]);
+              xfer += iprot->readI32(this->counts[_i240]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6599,10 +6507,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
-    std::vector<int32_t> ::const_iterator _iter249;
-    for (_iter249 = this->counts.begin(); _iter249 != this->counts.end(); ++_iter249)
+    std::vector<int32_t> ::const_iterator _iter241;
+    for (_iter241 = this->counts.begin(); _iter241 != this->counts.end(); ++_iter241)
     {
-      xfer += oprot->writeI32((*_iter249));
+      xfer += oprot->writeI32((*_iter241));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6625,17 +6533,17 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantColumns::GrantColumns(const GrantColumns& other250) {
-  targets = other250.targets;
-  counts = other250.counts;
-  accounts = other250.accounts;
-  __isset = other250.__isset;
+GrantColumns::GrantColumns(const GrantColumns& other242) {
+  targets = other242.targets;
+  counts = other242.counts;
+  accounts = other242.accounts;
+  __isset = other242.__isset;
 }
-GrantColumns& GrantColumns::operator=(const GrantColumns& other251) {
-  targets = other251.targets;
-  counts = other251.counts;
-  accounts = other251.accounts;
-  __isset = other251.__isset;
+GrantColumns& GrantColumns::operator=(const GrantColumns& other243) {
+  targets = other243.targets;
+  counts = other243.counts;
+  accounts = other243.accounts;
+  __isset = other243.__isset;
   return *this;
 }
 void GrantColumns::printTo(std::ostream& out) const {
@@ -6699,14 +6607,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tags.clear();
-            uint32_t _size252;
-            ::apache::thrift::protocol::TType _etype255;
-            xfer += iprot->readListBegin(_etype255, _size252);
-            this->tags.resize(_size252);
-            uint32_t _i256;
-            for (_i256 = 0; _i256 < _size252; ++_i256)
+            uint32_t _size244;
+            ::apache::thrift::protocol::TType _etype247;
+            xfer += iprot->readListBegin(_etype247, _size244);
+            this->tags.resize(_size244);
+            uint32_t _i248;
+            for (_i248 = 0; _i248 < _size244; ++_i248)
             {
-              xfer += iprot->readI64(this->tags[_i256]);
+              xfer += iprot->readI64(this->tags[_i248]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6739,10 +6647,10 @@
   xfer += oprot->writeFieldBegin("tags", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tags.size()));
-    std::vector<int64_t> ::const_iterator _iter257;
-    for (_iter257 = this->tags.begin(); _iter257 != this->tags.end(); ++_iter257)
+    std::vector<int64_t> ::const_iterator _iter249;
+    for (_iter249 = this->tags.begin(); _iter249 != this->tags.end(); ++_iter249)
     {
-      xfer += oprot->writeI64((*_iter257));
+      xfer += oprot->writeI64((*_iter249));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6760,15 +6668,15 @@
   swap(a.__isset, b.__isset);
 }
 
-TagColumns::TagColumns(const TagColumns& other258) {
-  accounts = other258.accounts;
-  tags = other258.tags;
-  __isset = other258.__isset;
+TagColumns::TagColumns(const TagColumns& other250) {
+  accounts = other250.accounts;
+  tags = other250.tags;
+  __isset = other250.__isset;
 }
-TagColumns& TagColumns::operator=(const TagColumns& other259) {
-  accounts = other259.accounts;
-  tags = other259.tags;
-  __isset = other259.__isset;
+TagColumns& TagColumns::operator=(const TagColumns& other251) {
+  accounts = other251.accounts;
+  tags = other251.tags;
+  __isset = other251.__isset;
   return *this;
 }
 void TagColumns::printTo(std::ostream& out) const {
@@ -6835,14 +6743,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->charged.clear();
-            uint32_t _size260;
-            ::apache::thrift::protocol::TType _etype263;
-            xfer += iprot->readListBegin(_etype263, _size260);
-            this->charged.resize(_size260);
-            uint32_t _i264;
-            for (_i264 = 0; _i264 < _size260; ++_i264)
+            uint32_t _size252;
+            ::apache::thrift::protocol::TType _etype255;
+            xfer += iprot->readListBegin(_etype255, _size252);
+            this->charged.resize(_size252);
+            uint32_t _i256;
+            for (_i256 = 0; _i256 < _size252; ++_i256)
             {
-              xfer += iprot->readI64(this->charged[_i264]);
+              xfer += iprot->readI64(this->charged[_i256]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6855,14 +6763,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tags.clear();
-            uint32_t _size265;
-            ::apache::thrift::protocol::TType _etype268;
-            xfer += iprot->readListBegin(_etype268, _size265);
-            this->tags.resize(_size265);
-            uint32_t _i269;
-            for (_i269 = 0; _i269 < _size265; ++_i269)
+            uint32_t _size257;
+            ::apache::thrift::protocol::TType _etype260;
+            xfer += iprot->readListBegin(_etype260, _size257);
+            this->tags.resize(_size257);
+            uint32_t _i261;
+            for (_i261 = 0; _i261 < _size257; ++_i261)
             {
-              xfer += iprot->readI64(this->tags[_i269]);
+              xfer += iprot->readI64(this->tags[_i261]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6895,10 +6803,10 @@
   xfer += oprot->writeFieldBegin("charged", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->charged.size()));
-    std::vector<int64_t> ::const_iterator _iter270;
-    for (_iter270 = this->charged.begin(); _iter270 != this->charged.end(); ++_iter270)
+    std::vector<int64_t> ::const_iterator _iter262;
+    for (_iter262 = this->charged.begin(); _iter262 != this->charged.end(); ++_iter262)
     {
-      xfer += oprot->writeI64((*_iter270));
+      xfer += oprot->writeI64((*_iter262));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6907,10 +6815,10 @@
   xfer += oprot->writeFieldBegin("tags", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->tags.size()));
-    std::vector<int64_t> ::const_iterator _iter271;
-    for (_iter271 = this->tags.begin(); _iter271 != this->tags.end(); ++_iter271)
+    std::vector<int64_t> ::const_iterator _iter263;
+    for (_iter263 = this->tags.begin(); _iter263 != this->tags.end(); ++_iter263)
     {
-      xfer += oprot->writeI64((*_iter271));
+      xfer += oprot->writeI64((*_iter263));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6929,17 +6837,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ExchangeColumns::ExchangeColumns(const ExchangeColumns& other272) {
-  accounts = other272.accounts;
-  charged = other272.charged;
-  tags = other272.tags;
-  __isset = other272.__isset;
+ExchangeColumns::ExchangeColumns(const ExchangeColumns& other264) {
+  accounts = other264.accounts;
+  charged = other264.charged;
+  tags = other264.tags;
+  __isset = other264.__isset;
 }
-ExchangeColumns& ExchangeColumns::operator=(const ExchangeColumns& other273) {
-  accounts = other273.accounts;
-  charged = other273.charged;
-  tags = other273.tags;
-  __isset = other273.__isset;
+ExchangeColumns& ExchangeColumns::operator=(const ExchangeColumns& other265) {
+  accounts = other265.accounts;
+  charged = other265.charged;
+  tags = other265.tags;
+  __isset = other265.__isset;
   return *this;
 }
 void ExchangeColumns::printTo(std::ostream& out) const {
@@ -7011,14 +6919,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefillTokens.clear();
-            uint32_t _size274;
-            ::apache::thrift::protocol::TType _etype277;
-            xfer += iprot->readListBegin(_etype277, _size274);
-            this->prefillTokens.resize(_size274);
-            uint32_t _i278;
-            for (_i278 = 0; _i278 < _size274; ++_i278)
+            uint32_t _size266;
+            ::apache::thrift::protocol::TType _etype269;
+            xfer += iprot->readListBegin(_etype269, _size266);
+            this->prefillTokens.resize(_size266);
+            uint32_t _i270;
+            for (_i270 = 0; _i270 < _size266; ++_i270)
             {
-              xfer += iprot->readI32(this->prefillTokens[_i278]);
+              xfer += iprot->readI32(this->prefillTokens[_i270]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7031,14 +6939,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size279;
-            ::apache::thrift::protocol::TType _etype282;
-            xfer += iprot->readListBegin(_etype282, _size279);
-            this->running.resize(_size279);
-            uint32_t _i283;
-            for (_i283 = 0; _i283 < _size279; ++_i283)
+            uint32_t _size271;
+            ::apache::thrift::protocol::TType _etype274;
+            xfer += iprot->readListBegin(_etype274, _size271);
+            this->running.resize(_size271);
+            uint32_t _i275;
+            for (_i275 = 0; _i275 < _size271; ++_i275)
             {
-              xfer += iprot->readI32(this->running[_i283]);
+              xfer += iprot->readI32(this->running[_i275]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7051,14 +6959,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memoryTokens.clear();
-            uint32_t _size284;
-            ::apache::thrift::protocol::TType _etype287;
-            xfer += iprot->readListBegin(_etype287, _size284);
-            this->memoryTokens.resize(_size284);
-            uint32_t _i288;
-            for (_i288 = 0; _i288 < _size284; ++_i288)
+            uint32_t _size276;
+            ::apache::thrift::protocol::TType _etype279;
+            xfer += iprot->readListBegin(_etype279, _size276);
+            this->memoryTokens.resize(_size276);
+            uint32_t _i280;
+            for (_i280 = 0; _i280 < _size276; ++_i280)
             {
-              xfer += iprot->readI32(this->memoryTokens[_i288]);
+              xfer += iprot->readI32(this->memoryTokens[_i280]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7091,10 +6999,10 @@
   xfer += oprot->writeFieldBegin("prefillTokens", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->prefillTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter289;
-    for (_iter289 = this->prefillTokens.begin(); _iter289 != this->prefillTokens.end(); ++_iter289)
+    std::vector<int32_t> ::const_iterator _iter281;
+    for (_iter281 = this->prefillTokens.begin(); _iter281 != this->prefillTokens.end(); ++_iter281)
     {
-      xfer += oprot->writeI32((*_iter289));
+      xfer += oprot->writeI32((*_iter281));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7103,10 +7011,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->running.size()));
-    std::vector<int32_t> ::const_iterator _iter290;
-    for (_iter290 = this->running.begin(); _iter290 != this->running.end(); ++_iter290)
+    std::vector<int32_t> ::const_iterator _iter282;
+    for (_iter282 = this->running.begin(); _iter282 != this->running.end(); ++_iter282)
     {
-      xfer += oprot->writeI32((*_iter290));
+      xfer += oprot->writeI32((*_iter282));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7115,10 +7023,10 @@
   xfer += oprot->writeFieldBegin("memoryTokens", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->memoryTokens.size()));
-    std::vector<int32_t> ::const_iterator _iter291;
-    for (_iter291 = this->memoryTokens.begin(); _iter291 != this->memoryTokens.end(); ++_iter291)
+    std::vector<int32_t> ::const_iterator _iter283;
+    for (_iter283 = this->memoryTokens.begin(); _iter283 != this->memoryTokens.end(); ++_iter283)
     {
-      xfer += oprot->writeI32((*_iter291));
+      xfer += oprot->writeI32((*_iter283));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7138,19 +7046,19 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetUseColumns::TargetUseColumns(const TargetUseColumns& other292) {
-  targets = other292.targets;
-  prefillTokens = other292.prefillTokens;
-  running = other292.running;
-  memoryTokens = other292.memoryTokens;
-  __isset = other292.__isset;
+TargetUseColumns::TargetUseColumns(const TargetUseColumns& other284) {
+  targets = other284.targets;
+  prefillTokens = other284.prefillTokens;
+  running = other284.running;
+  memoryTokens = other284.memoryTokens;
+  __isset = other284.__isset;
 }
-TargetUseColumns& TargetUseColumns::operator=(const TargetUseColumns& other293) {
-  targets = other293.targets;
-  prefillTokens = other293.prefillTokens;
-  running = other293.running;
-  memoryTokens = other293.memoryTokens;
-  __isset = other293.__isset;
+TargetUseColumns& TargetUseColumns::operator=(const TargetUseColumns& other285) {
+  targets = other285.targets;
+  prefillTokens = other285.prefillTokens;
+  running = other285.running;
+  memoryTokens = other285.memoryTokens;
+  __isset = other285.__isset;
   return *this;
 }
 void TargetUseColumns::printTo(std::ostream& out) const {
@@ -7219,14 +7127,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->askedTokens.clear();
-            uint32_t _size294;
-            ::apache::thrift::protocol::TType _etype297;
-            xfer += iprot->readListBegin(_etype297, _size294);
-            this->askedTokens.resize(_size294);
-            uint32_t _i298;
-            for (_i298 = 0; _i298 < _size294; ++_i298)
+            uint32_t _size286;
+            ::apache::thrift::protocol::TType _etype289;
+            xfer += iprot->readListBegin(_etype289, _size286);
+            this->askedTokens.resize(_size286);
+            uint32_t _i290;
+            for (_i290 = 0; _i290 < _size286; ++_i290)
             {
-              xfer += iprot->readI64(this->askedTokens[_i298]);
+              xfer += iprot->readI64(this->askedTokens[_i290]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7239,14 +7147,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->givenTokens.clear();
-            uint32_t _size299;
-            ::apache::thrift::protocol::TType _etype302;
-            xfer += iprot->readListBegin(_etype302, _size299);
-            this->givenTokens.resize(_size299);
-            uint32_t _i303;
-            for (_i303 = 0; _i303 < _size299; ++_i303)
+            uint32_t _size291;
+            ::apache::thrift::protocol::TType _etype294;
+            xfer += iprot->readListBegin(_etype294, _size291);
+            this->givenTokens.resize(_size291);
+            uint32_t _i295;
+            for (_i295 = 0; _i295 < _size291; ++_i295)
             {
-              xfer += iprot->readI64(this->givenTokens[_i303]);
+              xfer += iprot->readI64(this->givenTokens[_i295]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7279,10 +7187,10 @@
   xfer += oprot->writeFieldBegin("askedTokens", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->askedTokens.size()));
-    std::vector<int64_t> ::const_iterator _iter304;
-    for (_iter304 = this->askedTokens.begin(); _iter304 != this->askedTokens.end(); ++_iter304)
+    std::vector<int64_t> ::const_iterator _iter296;
+    for (_iter296 = this->askedTokens.begin(); _iter296 != this->askedTokens.end(); ++_iter296)
     {
-      xfer += oprot->writeI64((*_iter304));
+      xfer += oprot->writeI64((*_iter296));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7291,10 +7199,10 @@
   xfer += oprot->writeFieldBegin("givenTokens", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->givenTokens.size()));
-    std::vector<int64_t> ::const_iterator _iter305;
-    for (_iter305 = this->givenTokens.begin(); _iter305 != this->givenTokens.end(); ++_iter305)
+    std::vector<int64_t> ::const_iterator _iter297;
+    for (_iter297 = this->givenTokens.begin(); _iter297 != this->givenTokens.end(); ++_iter297)
     {
-      xfer += oprot->writeI64((*_iter305));
+      xfer += oprot->writeI64((*_iter297));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7313,17 +7221,17 @@
   swap(a.__isset, b.__isset);
 }
 
-AccountUseColumns::AccountUseColumns(const AccountUseColumns& other306) {
-  accounts = other306.accounts;
-  askedTokens = other306.askedTokens;
-  givenTokens = other306.givenTokens;
-  __isset = other306.__isset;
+AccountUseColumns::AccountUseColumns(const AccountUseColumns& other298) {
+  accounts = other298.accounts;
+  askedTokens = other298.askedTokens;
+  givenTokens = other298.givenTokens;
+  __isset = other298.__isset;
 }
-AccountUseColumns& AccountUseColumns::operator=(const AccountUseColumns& other307) {
-  accounts = other307.accounts;
-  askedTokens = other307.askedTokens;
-  givenTokens = other307.givenTokens;
-  __isset = other307.__isset;
+AccountUseColumns& AccountUseColumns::operator=(const AccountUseColumns& other299) {
+  accounts = other299.accounts;
+  askedTokens = other299.askedTokens;
+  givenTokens = other299.givenTokens;
+  __isset = other299.__isset;
   return *this;
 }
 void AccountUseColumns::printTo(std::ostream& out) const {
@@ -7428,15 +7336,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PartReadColumns::PartReadColumns(const PartReadColumns& other308) {
-  targets = other308.targets;
-  parts = other308.parts;
-  __isset = other308.__isset;
+PartReadColumns::PartReadColumns(const PartReadColumns& other300) {
+  targets = other300.targets;
+  parts = other300.parts;
+  __isset = other300.__isset;
 }
-PartReadColumns& PartReadColumns::operator=(const PartReadColumns& other309) {
-  targets = other309.targets;
-  parts = other309.parts;
-  __isset = other309.__isset;
+PartReadColumns& PartReadColumns::operator=(const PartReadColumns& other301) {
+  targets = other301.targets;
+  parts = other301.parts;
+  __isset = other301.__isset;
   return *this;
 }
 void PartReadColumns::printTo(std::ostream& out) const {
@@ -7658,27 +7566,27 @@
   swap(a.__isset, b.__isset);
 }
 
-RowColumns::RowColumns(const RowColumns& other310) {
-  demand = other310.demand;
-  held = other310.held;
-  grants = other310.grants;
-  tags = other310.tags;
-  exchange = other310.exchange;
-  targets = other310.targets;
-  accounts = other310.accounts;
-  reads = other310.reads;
-  __isset = other310.__isset;
-}
-RowColumns& RowColumns::operator=(const RowColumns& other311) {
-  demand = other311.demand;
-  held = other311.held;
-  grants = other311.grants;
-  tags = other311.tags;
-  exchange = other311.exchange;
-  targets = other311.targets;
-  accounts = other311.accounts;
-  reads = other311.reads;
-  __isset = other311.__isset;
+RowColumns::RowColumns(const RowColumns& other302) {
+  demand = other302.demand;
+  held = other302.held;
+  grants = other302.grants;
+  tags = other302.tags;
+  exchange = other302.exchange;
+  targets = other302.targets;
+  accounts = other302.accounts;
+  reads = other302.reads;
+  __isset = other302.__isset;
+}
+RowColumns& RowColumns::operator=(const RowColumns& other303) {
+  demand = other303.demand;
+  held = other303.held;
+  grants = other303.grants;
+  tags = other303.tags;
+  exchange = other303.exchange;
+  targets = other303.targets;
+  accounts = other303.accounts;
+  reads = other303.reads;
+  __isset = other303.__isset;
   return *this;
 }
 void RowColumns::printTo(std::ostream& out) const {
@@ -7978,35 +7886,35 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other312) {
-  sender = other312.sender;
-  incarnation = other312.incarnation;
-  heartbeat = other312.heartbeat;
-  demand = other312.demand;
-  grants = other312.grants;
-  exchange = other312.exchange;
-  configOffer = other312.configOffer;
-  configRequest = other312.configRequest;
-  load = other312.load;
-  listNews = other312.listNews;
-  columns = other312.columns;
-  placement = other312.placement;
-  __isset = other312.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other313) {
-  sender = other313.sender;
-  incarnation = other313.incarnation;
-  heartbeat = other313.heartbeat;
-  demand = other313.demand;
-  grants = other313.grants;
-  exchange = other313.exchange;
-  configOffer = other313.configOffer;
-  configRequest = other313.configRequest;
-  load = other313.load;
-  listNews = other313.listNews;
-  columns = other313.columns;
-  placement = other313.placement;
-  __isset = other313.__isset;
+Envelope::Envelope(const Envelope& other304) {
+  sender = other304.sender;
+  incarnation = other304.incarnation;
+  heartbeat = other304.heartbeat;
+  demand = other304.demand;
+  grants = other304.grants;
+  exchange = other304.exchange;
+  configOffer = other304.configOffer;
+  configRequest = other304.configRequest;
+  load = other304.load;
+  listNews = other304.listNews;
+  columns = other304.columns;
+  placement = other304.placement;
+  __isset = other304.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other305) {
+  sender = other305.sender;
+  incarnation = other305.incarnation;
+  heartbeat = other305.heartbeat;
+  demand = other305.demand;
+  grants = other305.grants;
+  exchange = other305.exchange;
+  configOffer = other305.configOffer;
+  configRequest = other305.configRequest;
+  load = other305.load;
+  listNews = other305.listNews;
+  columns = other305.columns;
+  placement = other305.placement;
+  __isset = other305.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen/peer_types.h
+++ b/src/wire/gen/peer_types.h
@@ -67,8 +67,6 @@
 
 class ZoneDrainList;
 
-class ColdTargetRow;
-
 class ColdTargetList;
 
 class LoadReport;
@@ -1538,10 +1536,11 @@
 std::ostream& operator<<(std::ostream& out, const ZoneDrainRow& obj);
 
 typedef struct _ZoneDrainList__isset {
-  _ZoneDrainList__isset() : storeEpoch(false), offset(false), zones(false) {}
+  _ZoneDrainList__isset() : storeEpoch(false), offset(false), zones(false), held(false) {}
   bool storeEpoch :1;
   bool offset :1;
   bool zones :1;
+  bool held :1;
 } _ZoneDrainList__isset;
 
 class ZoneDrainList : public virtual ::apache::thrift::TBase {
@@ -1551,13 +1550,15 @@
   ZoneDrainList& operator=(const ZoneDrainList&);
   ZoneDrainList() noexcept
                 : storeEpoch(0),
-                  offset(0) {
+                  offset(0),
+                  held(0) {
   }
 
   virtual ~ZoneDrainList() noexcept;
   int64_t storeEpoch;
   int64_t offset;
   std::vector<ZoneDrainRow>  zones;
+  bool held;
 
   _ZoneDrainList__isset __isset;
 
@@ -1567,6 +1568,8 @@
 
   void __set_zones(const std::vector<ZoneDrainRow> & val);
 
+  void __set_held(const bool val);
+
   bool operator == (const ZoneDrainList & rhs) const
   {
     if (!(storeEpoch == rhs.storeEpoch))
@@ -1575,6 +1578,8 @@
       return false;
     if (!(zones == rhs.zones))
       return false;
+    if (!(held == rhs.held))
+      return false;
     return true;
   }
   bool operator != (const ZoneDrainList &rhs) const {
@@ -1593,60 +1598,11 @@
 
 std::ostream& operator<<(std::ostream& out, const ZoneDrainList& obj);
 
-typedef struct _ColdTargetRow__isset {
-  _ColdTargetRow__isset() : target(false), leftMicros(false) {}
-  bool target :1;
-  bool leftMicros :1;
-} _ColdTargetRow__isset;
-
-class ColdTargetRow : public virtual ::apache::thrift::TBase {
- public:
-
-  ColdTargetRow(const ColdTargetRow&) noexcept;
-  ColdTargetRow& operator=(const ColdTargetRow&) noexcept;
-  ColdTargetRow() noexcept
-                : target(0),
-                  leftMicros(0) {
-  }
-
-  virtual ~ColdTargetRow() noexcept;
-  int32_t target;
-  int64_t leftMicros;
-
-  _ColdTargetRow__isset __isset;
-
-  void __set_target(const int32_t val);
-
-  void __set_leftMicros(const int64_t val);
-
-  bool operator == (const ColdTargetRow & rhs) const
-  {
-    if (!(target == rhs.target))
-      return false;
-    if (!(leftMicros == rhs.leftMicros))
-      return false;
-    return true;
-  }
-  bool operator != (const ColdTargetRow &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const ColdTargetRow & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(ColdTargetRow &a, ColdTargetRow &b);
-
-std::ostream& operator<<(std::ostream& out, const ColdTargetRow& obj);
-
 typedef struct _ColdTargetList__isset {
-  _ColdTargetList__isset() : complete(false), targets(false) {}
+  _ColdTargetList__isset() : complete(false), targets(false), left(false) {}
   bool complete :1;
   bool targets :1;
+  bool left :1;
 } _ColdTargetList__isset;
 
 class ColdTargetList : public virtual ::apache::thrift::TBase {
@@ -1655,18 +1611,23 @@
   ColdTargetList(const ColdTargetList&);
   ColdTargetList& operator=(const ColdTargetList&);
   ColdTargetList() noexcept
-                 : complete(0) {
+                 : complete(0),
+                   targets(),
+                   left() {
   }
 
   virtual ~ColdTargetList() noexcept;
   bool complete;
-  std::vector<ColdTargetRow>  targets;
+  std::string targets;
+  std::string left;
 
   _ColdTargetList__isset __isset;
 
   void __set_complete(const bool val);
 
-  void __set_targets(const std::vector<ColdTargetRow> & val);
+  void __set_targets(const std::string& val);
+
+  void __set_left(const std::string& val);
 
   bool operator == (const ColdTargetList & rhs) const
   {
@@ -1674,6 +1635,8 @@
       return false;
     if (!(targets == rhs.targets))
       return false;
+    if (!(left == rhs.left))
+      return false;
     return true;
   }
   bool operator != (const ColdTargetList &rhs) const {
--- a/src/wire/peer.thrift
+++ b/src/wire/peer.thrift
@@ -183,19 +183,17 @@
   1: i64 storeEpoch
   2: i64 offset
   3: list<ZoneDrainRow> zones
+  // Whether the sender waits for what a restored store has lost.
+  4: bool held
 }
 
-struct ColdTargetRow {
-  1: i32 target
-  // How much longer it counts as cold.
-  2: i64 leftMicros
-}
-
-// Targets that count as cold for the sender.
+// Targets that count as cold for the sender: ids of four bytes each, the lowest
+// first, and how much longer they do, in units of 50 ms, one byte each.
 struct ColdTargetList {
-  // Whether the sender has run for long enough to know all of them.
+  // Whether the sender knows all cold targets and names them all.
   1: bool complete
-  2: list<ColdTargetRow> targets
+  2: binary targets
+  3: binary left
 }
 
 struct LoadReport {
