Cold targets: any activity shows that a router was not suspended

Ticks are put off while events keep coming in the zone of the tests, and a router that was busy took itself for one that had been suspended: all its targets stayed cold. Selections count now too.

--- a/src/process/placement/cold_targets.cpp
+++ b/src/process/placement/cold_targets.cpp
@@ -94,13 +94,17 @@
   }
 }
 
-auto ColdTargets::Tick(Duration aLongestWarmUp, Instant aNow) -> void
+auto ColdTargets::Observe(Duration aLongestWarmUp, Instant aNow) -> void
 {
-  const bool wasSuspended = aNow - lastTick_ > kMaxTickGap;
+  const bool wasSuspended = aNow - lastObserved_ > kMaxGap;
   if (!uninformedUntil_ || wasSuspended) {
     uninformedUntil_ = aNow + aLongestWarmUp;
   }
-  lastTick_ = aNow;
+  lastObserved_ = aNow;
+}
+
+auto ColdTargets::DropWarm(Instant aNow) -> void
+{
   std::erase_if(
     states_, [&](const auto& aEntry) { return !IsCold(aEntry.second, aNow); });
 }
--- a/src/process/placement/cold_targets.h
+++ b/src/process/placement/cold_targets.h
@@ -35,7 +35,7 @@
   static constexpr std::size_t kMaxListed = 2000;
   /// A router that was suspended for this long may have missed that targets
   /// turned cold.
-  static constexpr Duration kMaxTickGap = 500ms;
+  static constexpr Duration kMaxGap = 500ms;
 
 private:
   struct State
@@ -49,9 +49,13 @@
   /// Until when this router does not know which targets are cold. Unset before
   /// the first call of Start().
   std::optional<Instant> uninformedUntil_;
-  Instant lastTick_{};
+  Instant lastObserved_{};
 
 public:
+  /// Call with each tick and before each selection, and first when it is known
+  /// how long targets stay cold at most: a long gap shows that the router was
+  /// suspended.
+  auto Observe(Duration aLongestWarmUp, Instant aNow) -> void;
   /// Whether all targets count as cold, as this router has just started.
   [[nodiscard]] auto IsUninformed(Instant aNow) const -> bool;
   /// What the peers need to know. aWarmUp(TargetId) returns how long a target
@@ -90,8 +94,8 @@
                  Instant aPlacedAt,
                  Duration aWarmUp,
                  Instant aNow) -> void;
-  /// Call often, and first when it is known how long targets stay cold at most.
-  auto Tick(Duration aLongestWarmUp, Instant aNow) -> void;
+  /// Forgets targets that are warm.
+  auto DropWarm(Instant aNow) -> void;
 
   [[nodiscard]] auto IsCold(TargetId aTarget, Instant aNow) const -> bool;
   [[nodiscard]] auto Count(Instant aNow) const -> std::size_t;
--- a/src/process/placement/dispatcher.cpp
+++ b/src/process/placement/dispatcher.cpp
@@ -129,6 +129,7 @@
   if (aService.coldStart_ <= 0us || aService.coldRequestsPerSecond_ <= 0) {
     return;
   }
+  coldTargets_.Observe(LongestWarmUp(), aNow);
   const bool isUninformed = coldTargets_.IsUninformed(aNow);
   for (const auto& target : TargetsOf(aService.id_)) {
     const auto id = target.listed_->id_;
@@ -700,7 +701,8 @@
   }
   loads_.Tick(aNow);
   if (const auto warmUp = LongestWarmUp(); warmUp > 0us) {
-    coldTargets_.Tick(warmUp, aNow);
+    coldTargets_.Observe(warmUp, aNow);
+    coldTargets_.DropWarm(aNow);
     coldLimiter_.Tick(aNow);
   }
 }
--- a/tests/process/placement/cold_targets_test.cpp
+++ b/tests/process/placement/cold_targets_test.cpp
@@ -17,7 +17,7 @@
   targets.MarkColdUntil(kTarget, 2s);
   EXPECT_TRUE(targets.IsCold(kTarget, 3s));
   EXPECT_FALSE(targets.IsCold(kTarget, 4s));
-  targets.Tick(kWarmUp, 4s);
+  targets.DropWarm(4s);
   EXPECT_EQ(targets.Count(3s), 0U);
 }
 
@@ -27,13 +27,13 @@
   ColdTargets targets;
   EXPECT_TRUE(targets.IsUninformed(1s));
   for (auto at = 1s; at <= 4s; at += 1s) {
-    targets.Tick(kWarmUp, at);
-    targets.Tick(kWarmUp, at + 400ms);
-    targets.Tick(kWarmUp, at + 800ms);
+    targets.Observe(kWarmUp, at);
+    targets.Observe(kWarmUp, at + 400ms);
+    targets.Observe(kWarmUp, at + 800ms);
   }
   EXPECT_FALSE(targets.IsUninformed(5s));
   // It was suspended and does not know what happened meanwhile.
-  targets.Tick(kWarmUp, 8s);
+  targets.Observe(kWarmUp, 8s);
   EXPECT_TRUE(targets.IsUninformed(8s));
 }
 
@@ -51,7 +51,7 @@
 auto TickThrough(ColdTargets* aTargets, Instant aFrom, Instant aTo) -> void
 {
   for (auto at = aFrom; at <= aTo; at += 100ms) {
-    aTargets->Tick(kWarmUp, at);
+    aTargets->Observe(kWarmUp, at);
   }
 }
 
--- a/tests/support/router_zone.h
+++ b/tests/support/router_zone.h
@@ -70,6 +70,7 @@
 
   static constexpr Duration kStep = 1ms;
   static constexpr int kOtherZones = 5;
+  static constexpr int kFirstTargetPort = 8000;
   /// How long a crashed engine refuses connections.
   static constexpr Duration kEngineRestart = 3s;
   /// When a router gives up to connect to an engine that has vanished.
@@ -177,6 +178,7 @@
       auto target = MakeTarget(name, "pool", options_.slots_,
                                i % 2 == 1 ? options_.otherTargetZone_ : "near");
       target.coldLeft_ = 0us;
+      target.port_ = static_cast<std::uint16_t>(kFirstTargetPort + i);
       router.node_->Directory().Put(name, target);
     }
     router.node_->OnConfiguration(MakeTable(5, options_.engines_, 0, 0.007,
