Confirm a configuration only by a read that reaches the log's end

Cause: StoreSource passed each version of a read to the node as the store's newest at the time the read began. A read returns 1 MB at most, so the first read of a catch-up ended with versions that had been replaced when it began, and the age of the configuration was reset while they still held the key. For the same reason a read that returned a version and a later one that can't be decoded confirmed the former.

Version 7 serves until it is stale. After the cut, versions 8 to 11 come in force at 40.234 to 40.261 s and version 12, which withdraws the key, at 40.279 s; 14 requests are sent on under version 11, at 40.262 to 40.269 s.

Change: versions are applied without a confirmation. No call to the store or message changes.

Tests: ConfigurationTrustTest.PartOfTheMissedVersionsConfirmsNothing (4 in place of 8 was confirmed) and VersionBeforeAnUnreadableOneIsNotConfirmed failed before.

--- a/src/process/forwarding/discovery_sink.h
+++ b/src/process/forwarding/discovery_sink.h
@@ -17,6 +17,11 @@
 
 namespace burdockring {
 
+/// As the time of a configuration read from its source: a newer one may have
+/// replaced it by then. Earlier than any reading of BootNow, so it confirms
+/// nothing.
+inline constexpr Instant kMayBeReplaced = -24h;
+
 /// Receives configuration and membership updates from their source. Instants
 /// are readings of BootNow taken before the read that returned the update
 /// began, so that the update was the newest at that time or later.
@@ -28,7 +33,8 @@
   DiscoverySink(const DiscoverySink&) = delete;
   auto operator=(const DiscoverySink&) -> DiscoverySink& = delete;
 
-  /// A configuration that was the newest at aAsOf. aText is its encoded form,
+  /// A configuration that was the newest at aAsOf, or that may have been
+  /// replaced already if aAsOf is kMayBeReplaced. aText is its encoded form,
   /// which is sent to peers.
   virtual auto OnConfiguration(RouteTablePointer aTable,
                                std::string aText,
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -801,7 +801,7 @@
   const auto version = aTable->Version();
   const auto routes = static_cast<std::int64_t>(aTable->RouteCount());
   const auto previous = config_.Table()->Version();
-  const bool fromStore = aAsOf > 0us;
+  const bool fromStore = aAsOf != 0us;
   const bool isNewer =
     fromStore
       ? config_.UpdateFromStore(std::move(aTable), std::move(aText), aAsOf)
--- /dev/null
+++ b/tests/platform/configuration_trust_test.cpp
@@ -0,0 +1,226 @@
+#include "base/boot_clock.h"
+#include "platform/standin/standin_records.h"
+#include "platform/standin/store_standin.h"
+#include "platform/store_source.h"
+#include "support/forwarding_fixture.h"
+
+#include <gtest/gtest.h>
+#include <memory>
+#include <vector>
+
+namespace burdockring {
+namespace {
+
+using testing::NiceMock;
+
+constexpr std::uint16_t kStorePort = 24182;
+const std::string kOperator(kStandinConfigurationTopic);
+const std::string kRouterEntries(kStandinRouterTopic);
+
+/// The decisions of one router that reads all lists itself. Records which
+/// version was in force each time the store confirmed it to be the newest.
+class ConfirmationSink : public DiscoverySink
+{
+  NiceMock<MockEventLog> log_;
+  ForwardingNode node_;
+  Instant confirmedAt_ = -24h;
+
+  static auto Self() -> RouterAddress
+  {
+    RouterAddress self;
+    self.name_ = "r1";
+    self.id_ = MakeId<RouterId>("r1");
+    self.zone_ = MakeId<ZoneId>("z");
+    return self;
+  }
+
+  auto RecordConfirmation() -> void
+  {
+    const auto now = BootNow();
+    const auto confirmedAt = now - node_.ConfigAge(now);
+    if (confirmedAt > confirmedAt_) {
+      confirmedAt_ = confirmedAt;
+      confirmed_.push_back({ node_.Table()->Version(), confirmedAt });
+    }
+  }
+
+public:
+  struct Confirmation
+  {
+    std::int64_t version_;
+    Instant at_;
+  };
+
+  std::vector<Confirmation> confirmed_;
+
+  ConfirmationSink()
+    : node_(ForwardingOptions{}, Self(), 1, &log_)
+  {
+  }
+
+  [[nodiscard]] auto Version() const -> std::int64_t
+  {
+    return node_.Table()->Version();
+  }
+
+  auto OnConfiguration(RouteTablePointer aTable,
+                       std::string aText,
+                       Instant aAsOf) -> void override
+  {
+    node_.OnConfiguration(std::move(aTable), std::move(aText), aAsOf);
+    RecordConfirmation();
+  }
+  auto OnConfigurationConfirmed(Instant aAsOf) -> void override
+  {
+    node_.OnConfigurationConfirmed(aAsOf);
+    RecordConfirmation();
+  }
+  auto OnTarget(const std::string& /*aKey*/, RegisteredTarget /*aTarget*/)
+    -> void override
+  {
+  }
+  auto OnTargetRemoved(const std::string& /*aKey*/) -> void override {}
+  auto OnTargets(
+    const std::vector<std::pair<std::string, RegisteredTarget>>& /*aAll*/)
+    -> void override
+  {
+  }
+  auto OnTargetListReachable(bool /*aReachable*/) -> void override {}
+  auto OnRouters(const std::vector<RouterAddress>& aRouters) -> void override
+  {
+    node_.OnRouters(aRouters, BootNow());
+  }
+  auto OnStoreEpoch(std::optional<std::int64_t> aEpoch) -> EpochOrder override
+  {
+    return node_.OnStoreEpoch(aEpoch, BootNow());
+  }
+  auto TimeToRead(SharedList /*aList*/, bool /*aIsFirstRead*/)
+    -> Duration override
+  {
+    return 0us;
+  }
+  auto OnListRead(SharedList /*aList*/,
+                  bool /*aSuccess*/,
+                  std::optional<wire::ListNews> /*aNews*/) -> void override
+  {
+  }
+};
+
+/// Routers that follow a stand-in of the store and check keys by what they
+/// read.
+class ConfigurationTrustTest : public testing::Test
+{
+protected:
+  static constexpr int kPolls = 600;
+
+  /// One process of a router; ends with the object.
+  struct Router
+  {
+    boost::asio::io_context context_{ 1 };
+    NiceMock<MockEventLog> log_;
+    ConfirmationSink sink_;
+    Instant startedAt_ = BootNow();
+    StoreSource source_;
+
+    explicit Router(const std::string& aName)
+      : source_(&context_, Settings(aName), &sink_, &log_)
+    {
+      source_.Start();
+    }
+
+    static auto Settings(const std::string& aName) -> ProcessSettings
+    {
+      ProcessSettings settings;
+      settings.self_.name_ = aName;
+      settings.self_.host_ = "127.0.0.1";
+      settings.self_.peerPort_ = 1;
+      settings.store_.address_ = { "127.0.0.1", kStorePort };
+      settings.store_.configWait_ = 50ms;
+      settings.store_.targetInterval_ = 20ms;
+      return settings;
+    }
+
+    template<typename Condition>
+    auto RunUntil(const Condition& aCondition) -> bool
+    {
+      for (int i = 0; i < kPolls; ++i) {
+        if (aCondition()) {
+          return true;
+        }
+        context_.run_for(std::chrono::milliseconds(10));
+      }
+      return false;
+    }
+  };
+
+  StoreStandin store_{ kStorePort };
+
+  auto PutVersion(int aVersion) -> void
+  {
+    StandinConfiguration configuration;
+    configuration.version_ = aVersion;
+    store_.Put(kOperator, EncodeStandinConfiguration(configuration));
+  }
+
+  /// A configuration whose list of accounts can't be read.
+  auto PutUnreadable() -> void
+  {
+    store_.Put(kOperator, { "config", R"({"version":99,"routes":[],
+      "tenants":{}})" });
+  }
+
+  /// The store epoch that a router's entry names; 0 if it has no entry.
+  auto EpochInEntry(const std::string& aName) -> std::int64_t
+  {
+    const auto entry =
+      DecodeRouter(aName, store_.NewestValue(kRouterEntries, aName));
+    return entry.ok() ? entry->storeEpoch_.value_or(0) : 0;
+  }
+};
+
+// A read that ended before the log's end confirmed the versions in it, which
+// had been replaced when it began: keys that the last one withdrew ran.
+TEST_F(ConfigurationTrustTest, PartOfTheMissedVersionsConfirmsNothing)
+{
+  PutVersion(3);
+  Router router("r1");
+  ASSERT_TRUE(
+    router.RunUntil([&] { return !router.sink_.confirmed_.empty(); }));
+  store_.SetFault(StoreFault::kDown);
+  router.context_.run_for(std::chrono::milliseconds(200));
+  for (int version = 4; version <= 8; ++version) {
+    PutVersion(version);
+  }
+  router.sink_.confirmed_.clear();
+  store_.SetMaxReadRecords(2);
+  store_.SetFault(StoreFault::kNone);
+  ASSERT_TRUE(
+    router.RunUntil([&] { return !router.sink_.confirmed_.empty(); }));
+  EXPECT_EQ(router.sink_.confirmed_.front().version_, 8);
+}
+
+// The same, where the last version withdraws keys but can't be read: the
+// version before it was confirmed by the read that returned both.
+TEST_F(ConfigurationTrustTest, VersionBeforeAnUnreadableOneIsNotConfirmed)
+{
+  PutVersion(3);
+  Router router("r1");
+  ASSERT_TRUE(
+    router.RunUntil([&] { return !router.sink_.confirmed_.empty(); }));
+  store_.SetFault(StoreFault::kDown);
+  router.context_.run_for(std::chrono::milliseconds(200));
+  PutVersion(4);
+  PutUnreadable();
+  router.sink_.confirmed_.clear();
+  store_.SetFault(StoreFault::kNone);
+  ASSERT_TRUE(router.RunUntil([&] { return router.sink_.Version() == 4; }));
+  router.context_.run_for(std::chrono::milliseconds(300));
+  EXPECT_TRUE(router.sink_.confirmed_.empty());
+  PutVersion(5);
+  ASSERT_TRUE(
+    router.RunUntil([&] { return !router.sink_.confirmed_.empty(); }));
+  EXPECT_EQ(router.sink_.confirmed_.front().version_, 5);
+}
+
+} // namespace
+} // namespace burdockring
