--- a/tests/main/withdrawn_keys_test.cpp
+++ b/tests/main/withdrawn_keys_test.cpp
@@ -22,6 +22,32 @@
     store_.Put(std::string(kStandinConfigurationTopic),
                EncodeStandinConfiguration(configuration));
   }
+
+  auto Kill() -> void
+  {
+    process_.Signal(SIGKILL);
+    ASSERT_TRUE(WaitUntil([this] { return !process_.IsRunning(); }));
+  }
+
+  auto StartAgain() -> void
+  {
+    ASSERT_TRUE(process_
+                  .Start(BURDOCKRING_PROGRAM,
+                         { "forward", "--settings=" + settings_ }, "/dev/null")
+                  .ok());
+    ASSERT_TRUE(WaitUntil([] { return ReadyStatus() == "200"; }));
+  }
+
+  /// Nothing with the key that was withdrawn, or with another, reaches a
+  /// target.
+  auto ExpectClosed() -> void
+  {
+    Seen();
+    EXPECT_NE(StatusWithKey("k1"), "200");
+    EXPECT_NE(StatusWithKey("never-held"), "200");
+    EXPECT_NE(Status(Ask("/safe/x")), "200");
+    EXPECT_TRUE(Seen().empty());
+  }
 };
 
 // After the last key was taken away, every request ran, whatever its key.
@@ -53,17 +79,34 @@
 {
   Configure(4, {});
   EXPECT_TRUE(WaitUntil([] { return StatusWithKey("k1") == "401"; }));
-  process_.Signal(SIGKILL);
-  ASSERT_TRUE(WaitUntil([this] { return !process_.IsRunning(); }));
-  ASSERT_TRUE(process_
-                .Start(BURDOCKRING_PROGRAM,
-                       { "forward", "--settings=" + settings_ }, "/dev/null")
-                .ok());
-  ASSERT_TRUE(WaitUntil([] { return ReadyStatus() == "200"; }));
+  Kill();
+  StartAgain();
   Seen();
   EXPECT_EQ(StatusWithKey("k1"), "401");
   EXPECT_TRUE(Seen().empty());
 }
 
+// A router that started on a copy of the store without the withdrawal confirmed
+// the copy at once, as its own entry hid the store's return.
+TEST_F(WithdrawnKeysTest, RestartOnOlderCopyKeepsTheLastKeyWithdrawn)
+{
+  store_.TakeCopy();
+  Configure(4, {});
+  EXPECT_TRUE(WaitUntil([] { return StatusWithKey("k1") == "401"; }));
+  Kill();
+  store_.RestoreCopy();
+  Seen();
+  StartAgain();
+  const auto startedAt = std::chrono::steady_clock::now();
+  while (std::chrono::steady_clock::now() - startedAt < 1s) {
+    EXPECT_NE(StatusWithKey("k1"), "200");
+    std::this_thread::sleep_for(10ms);
+  }
+  // The operator writes again what was lost.
+  Configure(4, {});
+  EXPECT_TRUE(WaitUntil([] { return StatusWithKey("k1") == "401"; }));
+  ExpectClosed();
+}
+
 } // namespace
 } // namespace burdockring
--- a/tests/platform/configuration_trust_test.cpp
+++ b/tests/platform/configuration_trust_test.cpp
@@ -222,5 +222,103 @@
   EXPECT_EQ(router.sink_.confirmed_.front().version_, 5);
 }
 
+/// The store comes back from a copy without version 4, which withdrew a key,
+/// while no router runs.
+class RestartOnOlderCopyTest : public ConfigurationTrustTest
+{
+protected:
+  auto SetUp() -> void override
+  {
+    PutVersion(3);
+    {
+      Router first("r1");
+      Router second("r2");
+      ASSERT_TRUE(
+        first.RunUntil([&] { return !first.sink_.confirmed_.empty(); }));
+      ASSERT_TRUE(
+        second.RunUntil([&] { return !second.sink_.confirmed_.empty(); }));
+      ASSERT_TRUE(first.RunUntil([&] { return EpochInEntry("r1") == 1; }));
+      ASSERT_TRUE(second.RunUntil([&] { return EpochInEntry("r2") == 1; }));
+    }
+    store_.TakeCopy();
+    PutVersion(4);
+    store_.RestoreCopy();
+  }
+
+  /// The store confirmed nothing to the router within the time in which the
+  /// operator writes again what was lost.
+  static auto ExpectGracePeriod(Router* aRouter) -> void
+  {
+    ASSERT_TRUE(
+      aRouter->RunUntil([&] { return !aRouter->sink_.confirmed_.empty(); }));
+    EXPECT_GE(aRouter->sink_.confirmed_.front().at_ - aRouter->startedAt_,
+              kRewriteGracePeriod);
+  }
+};
+
+// Each router wrote its own entry, with the new epoch, before it read the
+// list. So after a restart of all routers no entry of the older epoch was left,
+// and version 3 was confirmed at once.
+TEST_F(RestartOnOlderCopyTest, AllRoutersWaitForTheOperator)
+{
+  Router first("r1");
+  Router second("r2");
+  for (int i = 0; i < 30; ++i) {
+    first.context_.run_for(std::chrono::milliseconds(10));
+    second.context_.run_for(std::chrono::milliseconds(10));
+  }
+  EXPECT_EQ(first.sink_.Version(), 3);
+  EXPECT_EQ(second.sink_.Version(), 3);
+  ExpectGracePeriod(&first);
+  ExpectGracePeriod(&second);
+}
+
+// A router that starts twice within that time finds its entry as the first
+// process left it.
+TEST_F(RestartOnOlderCopyTest, SecondRestartWaitsToo)
+{
+  {
+    Router router("r1");
+    router.context_.run_for(std::chrono::milliseconds(800));
+  }
+  {
+    Router router("r2");
+    router.context_.run_for(std::chrono::milliseconds(800));
+  }
+  Router router("r1");
+  ExpectGracePeriod(&router);
+}
+
+// The configuration was confirmed after half a second where the routers'
+// entries could not be read until then.
+TEST_F(RestartOnOlderCopyTest, NothingIsConfirmedBeforeTheRoutersAreRead)
+{
+  store_.FailReadsOf(kRouterEntries);
+  Router router("r1");
+  ASSERT_TRUE(router.RunUntil([&] { return router.sink_.Version() == 3; }));
+  router.context_.run_for(std::chrono::milliseconds(500));
+  EXPECT_TRUE(router.sink_.confirmed_.empty());
+  store_.FailReadsOf({});
+  const auto readableAt = BootNow();
+  ExpectGracePeriod(&router);
+  EXPECT_GE(router.sink_.confirmed_.front().at_ - readableAt,
+            kRewriteGracePeriod);
+}
+
+// A router that was running as the store came back wrote its entry with the new
+// epoch up to 1.5 s later, and routers that started again in the rest of the
+// grace period did not see the return.
+TEST_F(ConfigurationTrustTest, EntryShowsTheOlderEpochForTheGracePeriod)
+{
+  PutVersion(3);
+  Router router("r1");
+  ASSERT_TRUE(router.RunUntil([&] { return EpochInEntry("r1") == 1; }));
+  store_.TakeCopy();
+  const auto restoredAt = BootNow();
+  store_.RestoreCopy();
+  ASSERT_TRUE(router.RunUntil([&] { return EpochInEntry("r1") == 2; }));
+  EXPECT_GE(BootNow() - restoredAt, kRewriteGracePeriod);
+}
+
 } // namespace
 } // namespace burdockring
