--- a/tests/main/withdrawn_keys_test.cpp
+++ b/tests/main/withdrawn_keys_test.cpp
@@ -23,6 +23,20 @@
                EncodeStandinConfiguration(configuration));
   }
 
+  /// Writes a version with this JSON text in place of its list of accounts.
+  auto ConfigureWith(int aVersion, const std::string& aAccounts) -> void
+  {
+    StandinConfiguration configuration;
+    configuration.version_ = aVersion;
+    configuration.accounts_ = {};
+    auto record = EncodeStandinConfiguration(configuration);
+    const std::string list = R"("tenants":[])";
+    const auto at = record.value_->find(list);
+    ASSERT_NE(at, std::string::npos);
+    record.value_->replace(at, list.size(), aAccounts);
+    store_.Put(std::string(kStandinConfigurationTopic), std::move(record));
+  }
+
   auto Kill() -> void
   {
     process_.Signal(SIGKILL);
@@ -86,6 +100,69 @@
   EXPECT_TRUE(Seen().empty());
 }
 
+// Guards against a restart that applies what the process before it had read.
+TEST_F(WithdrawnKeysTest, KeyWithdrawnDuringARestartDoesNotRun)
+{
+  EXPECT_EQ(StatusWithKey("k1"), "200");
+  Kill();
+  Configure(4, {});
+  StartAgain();
+  EXPECT_TRUE(WaitUntil([] { return StatusWithKey("k1") == "401"; }));
+  ExpectClosed();
+}
+
+// Guards against accounts without keys that are read as no accounts at all.
+TEST_F(WithdrawnKeysTest, AccountsWithoutKeysGiveNobodyAccess)
+{
+  ConfigureWith(4, R"("tenants":[{"name":"hotel"},)"
+                   R"({"name":"other","apiKeys":[]},)"
+                   R"({"name":"third","apiKeys":null}])");
+  EXPECT_TRUE(WaitUntil([] { return StatusWithKey("k1") == "401"; }));
+  ExpectClosed();
+}
+
+// Guards against a list that can't be read being taken for none, and against a
+// version that can't be read confirming the one before it: the key ends at the
+// age of the version in force.
+TEST_F(WithdrawnKeysTest, UnreadableListOfAccountsConfirmsNoKey)
+{
+  ConfigureWith(4, R"("tenants":{"name":"hotel","apiKeys":["k1"]})");
+  EXPECT_TRUE(WaitUntil([] { return StatusWithKey("k1") == "503"; }));
+  std::this_thread::sleep_for(500ms);
+  ExpectClosed();
+  Configure(5, { { "hotel", "k2" } });
+  EXPECT_TRUE(WaitUntil([] { return StatusWithKey("k2") == "200"; }));
+  EXPECT_EQ(StatusWithKey("k1"), "401");
+}
+
+// By the platform's protocol keys are required only where a configuration has a
+// list. Guards against that outlasting the next version with one.
+TEST_F(WithdrawnKeysTest, VersionWithAListAfterOneWithoutRequiresKeys)
+{
+  ConfigureWith(4, R"("other":[])");
+  EXPECT_TRUE(WaitUntil([] { return Status(Ask("/safe/x")) == "200"; }));
+  Configure(5, {});
+  EXPECT_TRUE(WaitUntil([] { return Status(Ask("/safe/x")) == "401"; }));
+  ExpectClosed();
+}
+
+// Guards against keys that stay with an account's name.
+TEST_F(WithdrawnKeysTest, AccountThatIsAddedAgainHasOnlyItsNewKeys)
+{
+  Configure(4, { { "other", "k9" } });
+  EXPECT_TRUE(WaitUntil([] { return StatusWithKey("k1") == "401"; }));
+  Configure(5, { { "hotel", "k2" }, { "other", "k9" } });
+  EXPECT_TRUE(WaitUntil([] { return StatusWithKey("k2") == "200"; }));
+  EXPECT_EQ(StatusWithKey("k1"), "401");
+  // Its first key is given again, and withdrawn again.
+  Configure(6, { { "hotel", "k1" }, { "other", "k9" } });
+  EXPECT_TRUE(WaitUntil([] { return StatusWithKey("k1") == "200"; }));
+  EXPECT_EQ(StatusWithKey("k2"), "401");
+  Configure(7, { { "other", "k9" } });
+  EXPECT_TRUE(WaitUntil([] { return StatusWithKey("k1") == "401"; }));
+  ExpectClosed();
+}
+
 // A router that started on a copy of the store without the withdrawal confirmed
 // the copy at once, as its own entry hid the store's return.
 TEST_F(WithdrawnKeysTest, RestartOnOlderCopyKeepsTheLastKeyWithdrawn)
@@ -108,5 +185,23 @@
   ExpectClosed();
 }
 
+// The same for a router that was running as the store came back.
+TEST_F(WithdrawnKeysTest, OlderCopyOfTheStoreKeepsTheLastKeyWithdrawn)
+{
+  store_.TakeCopy();
+  Configure(4, {});
+  EXPECT_TRUE(WaitUntil([] { return StatusWithKey("k1") == "401"; }));
+  Seen();
+  store_.RestoreCopy();
+  const auto restoredAt = std::chrono::steady_clock::now();
+  while (std::chrono::steady_clock::now() - restoredAt < 1s) {
+    EXPECT_NE(StatusWithKey("k1"), "200");
+    std::this_thread::sleep_for(10ms);
+  }
+  Configure(4, {});
+  EXPECT_TRUE(WaitUntil([] { return StatusWithKey("k1") == "401"; }));
+  ExpectClosed();
+}
+
 } // namespace
 } // namespace burdockring
