--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -281,7 +281,8 @@
                        Instant aNow) -> void;
 
   /// A configuration was received from the store, where it was the newest at
-  /// aAsOf, or from a peer if aAsOf is zero.
+  /// aAsOf, or from a peer if aAsOf is zero. With kMayBeReplaced it comes from
+  /// the store and confirms nothing.
   auto OnConfiguration(RouteTablePointer aTable,
                        std::string aText,
                        Instant aAsOf) -> void;
