Tests of a router's memory under clients that never complete a request

Each starts the real program with 64 MB of VM memory in its settings and 500 connections (4 for trailers), and requires under 48 MB resident, no descriptors beyond the clients', and one ordinary request answered.

--- a/tests/support/forward_process.h
+++ b/tests/support/forward_process.h
@@ -41,6 +41,10 @@
   ChildProcess process_;
   /// More than one shows that unsafe work isn't sent again all the same.
   int attemptsOfUnsafe_ = 1;
+  /// Memory of the router's VM; zero: the settings don't name it.
+  int memoryMb_ = 0;
+  /// Longest time without progress of a caller's connection.
+  Duration idleTimeout_ = 15s;
   std::string settings_ =
     testing::TempDir() + "burdockring-forward-settings.json";
 
@@ -69,6 +73,7 @@
     router.lastInternal_ = kLastInternalPort;
     router.store_ = kStorePort;
     router.grace_ = 6s;
+    router.memoryMb_ = memoryMb_;
     std::ofstream(settings_) << EncodeStandinSettings(router);
   }
 
@@ -76,6 +81,7 @@
   {
     StandinConfiguration configuration;
     configuration.version_ = 3;
+    configuration.idleTimeout_ = idleTimeout_;
     configuration.routes_[1].public_ = true;
     configuration.routes_[1].maxAttempts_ = attemptsOfUnsafe_;
     configuration.routes_[2].public_ = true;
