Bound what callers and targets make a router hold

Nothing bounded the bytes that all connections hold together: 500 bodies that stopped one byte short, or chunks, took 75 to 81 MB, four connections with endless trailers 134 MB. Caller and target connections now charge MemoryBudget, with its limit from limits.memoryMb or limits.bufferMb. As it fills, the slowest bodies wait, new large bodies get 503, and the worst holders are closed. Connections share one buffer to read into, and the body of a request is no longer copied for each attempt.

A body without progress ends with 408 instead of a closed connection, and one that progresses is no longer cut after the idle timeout. Targets are paused for a slow caller only while memory is short; before, a caller of a 30 MB response that did not read for some seconds got 128,107 bytes of it.

StalledBodyTest and SlowReaderWithRoomTest failed on the earlier program.

--- a/src/connection/caller_connection.cpp
+++ b/src/connection/caller_connection.cpp
@@ -3,7 +3,9 @@
 #include "adapter/tcp_options.h"
 #include "base/boot_clock.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <fmt/format.h>
@@ -20,11 +22,26 @@
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
 constexpr int kNotImplemented = 501;
+constexpr int kUnavailable = 503;
 
 /// How long to wait for the caller to close after the last answer.
 constexpr Duration kLingerTime = 1s;
 /// Longest time without an acknowledgement from the caller's side.
 constexpr Duration kUserTimeout = 5s;
+/// Limits that 16,384 bytes of header do not imply: short fields take ten times
+/// their bytes in memory, and framing is not limited by the body's length. A
+/// body in chunks of one byte has five bytes of framing for each.
+constexpr FramingLimits kFramingLimits{ .fields_ = 256,
+                                        .chunkHeaderBytes_ = 1024,
+                                        .trailerBytes_ = 8192,
+                                        .framingSlack_ = 16'384,
+                                        .framingRatio_ = 4 };
+/// Part of the body limit that must come within the idle timeout. All of a body
+/// within one timeout makes progress, however small it is.
+constexpr std::size_t kProgressPart = 16;
+/// Seconds after which the caller may try again: holders without progress for
+/// that long are closed first.
+constexpr int kRetryAfter = 1;
 
 auto StatusOf(const boost::system::error_code& aError) -> int
 {
@@ -45,19 +62,70 @@
   if (reading_ || closed_) {
     return;
   }
-  if (exchange_ && inbound_.size() >= kMaxAhead) {
+  const bool isShort = port_->Memory().Level() >= MemoryLevel::kBackpressure;
+  if (exchange_ &&
+      inbound_.size() >= (isShort ? kMaxAheadUnderPressure : kMaxAhead)) {
+    return;
+  }
+  if (pausedSince_) {
     return;
   }
   reading_ = true;
-  socket_.async_read_some(
-    asio::buffer(readBuffer_),
-    [self = shared_from_this()](const boost::system::error_code& aError,
-                                std::size_t aBytes) {
+  socket_.async_wait(
+    asio::socket_base::wait_read,
+    [self = shared_from_this()](const boost::system::error_code& aError) {
       self->reading_ = false;
-      self->OnRead(aError, aBytes);
+      if (aError) {
+        self->OnRead(aError, 0);
+      } else {
+        self->OnReadable();
+      }
     });
 }
 
+auto CallerConnection::OnReadable() -> void
+{
+  if (closed_ || pausedSince_) {
+    return;
+  }
+  if (!lingering_ && !HasRoomToRead()) {
+    if (closed_) {
+      return;
+    }
+    if (exchange_) {
+      // CheckTime reads on.
+      return;
+    }
+    if (!lingering_) {
+      RefuseMessage(kUnavailable, MemoryAction::kBodyClosed);
+    }
+  }
+  boost::system::error_code error;
+  const auto bytes =
+    socket_.read_some(asio::buffer(port_->Memory().SharedReadBuffer()), error);
+  if (error == asio::error::would_block) {
+    Read();
+    return;
+  }
+  OnRead(error, bytes);
+}
+
+auto CallerConnection::HasRoomToRead() -> bool
+{
+  auto& memory = port_->Memory();
+  const auto own =
+    headCharge_.Bytes() + unparsedCharge_.Bytes() + bodyCharge_.Bytes();
+  // Bytes that complete the body or the head take no more than they have.
+  const auto more = reader_ ? reader_->BodyGrowth(MemoryBudget::kReadBytes)
+                            : MemoryBudget::kReadBytes;
+  if (memory.Pressure().MayHold(memory.Held(), own, more)) {
+    return true;
+  }
+  port_->RelieveMemory(more);
+  return !closed_ && !lingering_ &&
+         memory.Pressure().MayHold(memory.Held(), own, more);
+}
+
 auto CallerConnection::OnRead(const boost::system::error_code& aError,
                               std::size_t aBytes) -> void
 {
@@ -69,8 +137,12 @@
     return;
   }
   if (!lingering_) {
-    inbound_.append(readBuffer_.data(), aBytes);
+    inbound_.append(port_->Memory().SharedReadBuffer().data(), aBytes);
     Parse();
+    if (inbound_.empty()) {
+      inbound_ = {};
+    }
+    ChargeRequest();
   }
   Read();
 }
@@ -81,11 +153,22 @@
     return;
   }
   writing_.swap(outbound_);
+  lastWritten_ = BootNow();
   asio::async_write(
     socket_, asio::buffer(writing_),
+    [this](const boost::system::error_code& aError, std::size_t aBytes) {
+      if (aBytes > 0) {
+        lastWritten_ = BootNow();
+      }
+      return asio::transfer_all()(aError, aBytes);
+    },
     [self = shared_from_this()](const boost::system::error_code& aError,
                                 std::size_t /*aBytes*/) {
       self->writing_.clear();
+      if (self->writing_.capacity() > kMaxKept) {
+        self->writing_ = {};
+      }
+      self->ChargeResponse();
       if (self->closed_) {
         return;
       }
@@ -113,14 +196,27 @@
     if (!reader_) {
       const auto limits = port_->Limits();
       reader_.emplace(limits.headerBytes_, limits.bodyBytes_);
+      reader_->SetLimits(kFramingLimits);
       requestSince_ = BootNow();
+      progressSince_ = *requestSince_;
+      lastByte_ = *requestSince_;
+      progressAt_ = 0;
+      pausedFor_ = {};
       continued_ = false;
+      accepted_ = false;
     }
+    const auto bodyBefore = reader_->BodySize();
     const auto error = reader_->Put(&inbound_);
     if (error) {
+      if (reader_->IsOverLimits()) {
+        port_->Memory().Count(MemoryAction::kFramingRefused);
+      }
       RefuseMessage(StatusOf(error));
       return;
     }
+    if (reader_->BodySize() > bodyBefore && !reader_->is_done()) {
+      NoteProgress();
+    }
     if (!reader_->HasHead()) {
       return;
     }
@@ -130,6 +226,10 @@
       return;
     }
     if (!reader_->is_done()) {
+      if (!IsAccepted()) {
+        RefuseMessage(kUnavailable, MemoryAction::kBodyRejected);
+        return;
+      }
       const auto* expect = FindField(reader_->Head().fields_, "Expect");
       if (expect != nullptr && !continued_) {
         continued_ = true;
@@ -161,6 +261,53 @@
   return recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+auto CallerConnection::ChargeRequest() -> void
+{
+  headCharge_.Set(reader_ ? reader_->HeadMemory() : 0);
+  bodyCharge_.Set(reader_ ? reader_->BodyMemory() : 0);
+  unparsedCharge_.Set(inbound_.capacity());
+}
+
+auto CallerConnection::ChargeResponse() -> void
+{
+  unreadCharge_.Set(outbound_.capacity() + writing_.capacity());
+}
+
+auto CallerConnection::NoteProgress() -> void
+{
+  lastByte_ = BootNow();
+  const auto step =
+    static_cast<std::size_t>(port_->Limits().bodyBytes_) / kProgressPart;
+  if (reader_->BodySize() - progressAt_ >= step) {
+    progressAt_ = reader_->BodySize();
+    progressSince_ = lastByte_;
+  }
+}
+
+auto CallerConnection::IsAccepted() -> bool
+{
+  if (accepted_) {
+    return true;
+  }
+  // A body in chunks is taken for small until it is not.
+  const auto length = reader_->content_length();
+  const std::size_t expected = length ? *length : reader_->BodySize();
+  const auto& memory = port_->Memory();
+  if (!memory.Pressure().MayBegin(memory.Held(), expected)) {
+    return false;
+  }
+  accepted_ = length || expected > MemoryPressure::kSmall;
+  return true;
+}
+
+auto CallerConnection::ExpectedBody() const -> std::size_t
+{
+  if (const auto length = reader_->content_length()) {
+    return *length;
+  }
+  return static_cast<std::size_t>(port_->Limits().bodyBytes_);
+}
+
 auto CallerConnection::StartRequest() -> void
 {
   // The caller of a request that waited long in kernel queues may be gone.
@@ -177,6 +324,7 @@
   }
   reader_.reset();
   requestSince_.reset();
+  ChargeRequest();
   // The exchange may finish before Begin returns.
   const auto self = shared_from_this();
   exchange_ = port_->Begin(this, std::move(head), std::move(body), BootNow());
@@ -187,15 +335,49 @@
 
 auto CallerConnection::RefuseMessage(int aStatus) -> void
 {
-  const std::string body = "{\"error\":{\"code\":\"bad_message\"}}\n";
-  Write(fmt::format("HTTP/1.1 {} Refused\r\nConnection: close\r\n"
+  const bool isFull = aStatus == kUnavailable;
+  const std::string body = fmt::format("{{\"error\":{{\"code\":\"{}\"}}}}\n",
+                                       isFull ? "memory_full" : "bad_message");
+  reader_.reset();
+  requestSince_.reset();
+  pausedSince_.reset();
+  inbound_ = {};
+  ChargeRequest();
+  Write(fmt::format("HTTP/1.1 {} Refused\r\nConnection: close\r\n{}"
                     "Content-Type: application/json\r\n"
                     "Content-Length: {}\r\n\r\n{}",
-                    aStatus, body.size(), body));
+                    aStatus,
+                    isFull ? fmt::format("Retry-After: {}\r\n", kRetryAfter)
+                           : std::string(),
+                    body.size(), body));
   lingering_ = true;
   idleSince_ = BootNow();
 }
 
+auto CallerConnection::RefuseMessage(int aStatus, MemoryAction aAction) -> void
+{
+  port_->Memory().Count(aAction);
+  RefuseMessage(aStatus);
+  // What still comes is read and dropped.
+  Read();
+}
+
+auto CallerConnection::CutResponse() -> void
+{
+  if (cut_ || closed_) {
+    return;
+  }
+  cut_ = true;
+  port_->Memory().Count(MemoryAction::kResponseClosed);
+  outbound_ = {};
+  ChargeResponse();
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    boost::system::error_code ignored;
+    self->socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    self->Close();
+  });
+}
+
 auto CallerConnection::Linger() -> void
 {
   boost::system::error_code ignored;
@@ -213,6 +395,11 @@
   boost::system::error_code ignored;
   socket_.close(ignored);
   const auto self = shared_from_this();
+  reader_.reset();
+  inbound_ = {};
+  outbound_ = {};
+  ChargeRequest();
+  ChargeResponse();
   if (const auto exchange = std::exchange(exchange_, nullptr)) {
     exchange->OnCallerDisconnected();
   }
@@ -225,39 +412,131 @@
   : socket_(std::move(aSocket))
   , port_(aPort)
   , onClose_(std::move(aOnClose))
+  , ownCharge_(&aPort->Memory(), MemoryPurpose::kConnection)
+  , headCharge_(&aPort->Memory(), MemoryPurpose::kHead)
+  , unparsedCharge_(&aPort->Memory(), MemoryPurpose::kUnparsed)
+  , bodyCharge_(&aPort->Memory(), MemoryPurpose::kRequestBody)
+  , unreadCharge_(&aPort->Memory(), MemoryPurpose::kUnread)
   , idleSince_(BootNow())
 {
+  ownCharge_.Set(sizeof(CallerConnection));
 }
 
 auto CallerConnection::Start() -> void
 {
   SetTcpOptions(&socket_, { kUserTimeout });
+  boost::system::error_code ignored;
+  socket_.non_blocking(true, ignored);
   Read();
 }
 
 auto CallerConnection::CheckTime(Instant aNow) -> void
 {
   const auto limits = port_->Limits();
+  const bool isWriting = !writing_.empty();
   if (lingering_) {
-    if (aNow - idleSince_ > kLingerTime) {
+    const auto since = isWriting ? lastWritten_ : idleSince_;
+    if (aNow - since > (isWriting ? limits.idleTimeout_ : kLingerTime)) {
       Close();
     }
     return;
   }
   if (exchange_) {
+    if (paused_ && port_->Memory().Level() < MemoryLevel::kBackpressure) {
+      paused_ = false;
+      exchange_->SetPaused(false);
+    }
+    Read();
     return;
   }
-  if (requestSince_ && aNow - *requestSince_ > limits.headerTimeout_ &&
-      !reader_->HasHead()) {
-    RefuseMessage(kRequestTimeout);
+  if (requestSince_) {
+    CheckRequestTime(aNow, limits);
     return;
   }
-  const auto since = requestSince_.value_or(idleSince_);
+  const auto since =
+    isWriting ? std::max(idleSince_, lastWritten_) : idleSince_;
   if (aNow - since > limits.idleTimeout_) {
     Close();
   }
 }
 
+auto CallerConnection::CheckRequestTime(Instant aNow,
+                                        const CallerLimits& aLimits) -> void
+{
+  if (!reader_->HasHead()) {
+    if (aNow - *requestSince_ > aLimits.headerTimeout_) {
+      RefuseMessage(kRequestTimeout);
+    }
+    return;
+  }
+  if (pausedSince_) {
+    if (aNow - *pausedSince_ > aLimits.idleTimeout_) {
+      RefuseMessage(kUnavailable, MemoryAction::kBodyPaused);
+    }
+    return;
+  }
+  if (aNow - progressSince_ > aLimits.idleTimeout_) {
+    RefuseMessage(kRequestTimeout, MemoryAction::kBodyStalled);
+  }
+}
+
+auto CallerConnection::Body(Instant aNow) const -> std::optional<BodyInProgress>
+{
+  if (!reader_ || !reader_->HasHead() || exchange_ || lingering_ || closed_) {
+    return std::nullopt;
+  }
+  BodyInProgress body;
+  body.received_ = reader_->BodySize();
+  const auto expected = ExpectedBody();
+  body.remaining_ = expected - std::min(expected, body.received_);
+  const auto paused = pausedSince_ ? aNow - *pausedSince_ : Duration();
+  body.reading_ = aNow - *requestSince_ - pausedFor_ - paused;
+  return body;
+}
+
+auto CallerConnection::Holder(Instant aNow) const -> std::optional<MemoryHolder>
+{
+  if (closed_ || cut_) {
+    return std::nullopt;
+  }
+  if (!writing_.empty()) {
+    return MemoryHolder{ 0, unreadCharge_.Bytes(), aNow - lastWritten_ };
+  }
+  if (!reader_ || exchange_ || lingering_) {
+    return std::nullopt;
+  }
+  const auto bytes =
+    headCharge_.Bytes() + unparsedCharge_.Bytes() + bodyCharge_.Bytes();
+  return MemoryHolder{ 0, bytes, aNow - lastByte_ };
+}
+
+auto CallerConnection::GiveUpMemory() -> void
+{
+  if (!writing_.empty()) {
+    CutResponse();
+  } else if (reader_ && !exchange_ && !lingering_) {
+    RefuseMessage(kUnavailable, MemoryAction::kBodyClosed);
+  }
+}
+
+auto CallerConnection::SetReadPaused(bool aPaused) -> void
+{
+  if (aPaused == pausedSince_.has_value()) {
+    return;
+  }
+  const auto now = BootNow();
+  if (aPaused) {
+    pausedSince_ = now;
+    return;
+  }
+  const auto paused = now - *pausedSince_;
+  pausedSince_.reset();
+  pausedFor_ += paused;
+  progressSince_ += paused;
+  lastByte_ = now;
+  Read();
+}
+
 auto CallerConnection::CloseIfIdle(Duration aIdle) -> void
 {
   if (!exchange_ && !requestSince_ && writing_.empty() &&
@@ -283,12 +562,28 @@
 
 auto CallerConnection::Write(std::string aBytes) -> void
 {
+  if (cut_) {
+    return;
+  }
+  auto& memory = port_->Memory();
+  const auto more = aBytes.size();
+  if (!memory.Pressure().MayHold(memory.Held(), 0, more)) {
+    port_->RelieveMemory(more);
+    if (!memory.Pressure().MayHold(memory.Held(), 0, more)) {
+      CutResponse();
+    }
+    if (cut_) {
+      return;
+    }
+  }
   if (outbound_.empty()) {
     outbound_ = std::move(aBytes);
   } else {
     outbound_ += aBytes;
   }
-  if (!paused_ && exchange_ && outbound_.size() > kMaxWaiting) {
+  ChargeResponse();
+  if (!paused_ && exchange_ && outbound_.size() > kMaxWaiting &&
+      memory.Level() >= MemoryLevel::kBackpressure) {
     paused_ = true;
     exchange_->SetPaused(true);
   }
--- a/src/connection/event_splitter.cpp
+++ b/src/connection/event_splitter.cpp
@@ -79,6 +79,11 @@
   return !rest_.empty();
 }
 
+auto EventSplitter::RestMemory() const -> std::size_t
+{
+  return rest_.capacity();
+}
+
 auto EventSplitter::DropRest() -> void
 {
   rest_.clear();
--- a/src/connection/event_splitter.h
+++ b/src/connection/event_splitter.h
@@ -28,6 +28,8 @@
   [[nodiscard]] auto IsTooLong() const -> bool;
   /// Whether the bytes so far end inside an event.
   [[nodiscard]] auto IsInsideEvent() const -> bool;
+  /// Bytes of memory that the incomplete event takes.
+  [[nodiscard]] auto RestMemory() const -> std::size_t;
   /// Drops the bytes after the last whole event.
   auto DropRest() -> void;
   /// The id of the first event of aEvents that has one.
--- a/src/connection/exchange.cpp
+++ b/src/connection/exchange.cpp
@@ -62,7 +62,7 @@
 
 } // namespace
 
-auto Exchange::RequestText(const SendAttempt& aAttempt) const -> std::string
+auto Exchange::RequestHead(const SendAttempt& aAttempt) const -> std::string
 {
   HttpFields endToEnd;
   const auto connection = ConnectionValue(head_.fields_);
@@ -80,14 +80,25 @@
   }
   const bool mayLackBody = head_.method_ == "GET" || head_.method_ == "HEAD" ||
                            head_.method_ == "DELETE";
-  if (!body_.empty() || !mayLackBody) {
-    AppendField(&text, "Content-Length", std::to_string(body_.size()));
+  if (!body_->empty() || !mayLackBody) {
+    AppendField(&text, "Content-Length", std::to_string(body_->size()));
   }
   text += "\r\n";
-  text += body_;
   return text;
 }
 
+auto Exchange::GatherLimit() const -> std::size_t
+{
+  return port_->Memory().Level() >= MemoryLevel::kReject
+           ? kMaxGatheredUnderPressure
+           : kMaxGathered;
+}
+
+auto Exchange::ChargeGathered() -> void
+{
+  gatheredCharge_.Set(gathered_.capacity() + events_.RestMemory());
+}
+
 auto Exchange::BeginAnswer(bool aWithLength) -> void
 {
   begun_ = true;
@@ -223,9 +234,16 @@
   , writer_(aWriter)
   , id_(aId)
   , head_(std::move(aHead))
-  , body_(std::move(aBody))
+  , body_(std::make_shared<const std::string>(std::move(aBody)))
+  , bodyCharge_(&aPort->Memory(), MemoryPurpose::kRequestBody)
+  , gatheredCharge_(&aPort->Memory(), MemoryPurpose::kGathered)
   , received_(aReceived)
 {
+  std::size_t bytes = sizeof(Exchange) + body_->capacity();
+  for (const auto& field : head_.fields_) {
+    bytes += sizeof(field) + field.name_.size() + field.value_.size();
+  }
+  bodyCharge_.Set(bytes);
 }
 
 auto Exchange::Start() -> void
@@ -256,8 +274,8 @@
   refusalBytes_ = 0;
   resumedAfter_ = begun_ ? aEffect.lastEvent_ : std::nullopt;
   events_.DropRest();
-  connection_ =
-    port_->Targets().Send(aEffect, RequestText(aEffect), weak_from_this());
+  connection_ = port_->Targets().Send(aEffect, RequestHead(aEffect), body_,
+                                      weak_from_this());
 }
 
 auto Exchange::Apply(const AbortAttempt& /*aEffect*/) -> void
@@ -370,6 +388,13 @@
   if (aAttempt != attempt_ || done_) {
     return;
   }
+  const auto self = shared_from_this();
+  Take(std::move(aBody));
+  ChargeGathered();
+}
+
+auto Exchange::Take(std::string aBody) -> void
+{
   switch (mode_) {
     case Mode::kNone:
       return;
@@ -382,7 +407,7 @@
       return;
     case Mode::kGather:
       gathered_ += aBody;
-      if (gathered_.size() > kMaxGathered) {
+      if (gathered_.size() > GatherLimit()) {
         mode_ = Mode::kBytes;
         NoteFirstByte();
         Forward(std::exchange(gathered_, {}));
--- a/src/connection/exchange.h
+++ b/src/connection/exchange.h
@@ -37,6 +37,7 @@
   /// Executes the node's effects.
   virtual auto Settle() -> void = 0;
   virtual auto Targets() -> TargetPool& = 0;
+  virtual auto Memory() -> MemoryBudget& = 0;
   [[nodiscard]] virtual auto Adapter() const -> const ProtocolAdapter& = 0;
   [[nodiscard]] virtual auto Log() -> EventLog& = 0;
   virtual auto Record(const ExchangeTiming& aTiming) -> void = 0;
@@ -78,6 +79,8 @@
 {
   /// Longer answers are forwarded without buffering.
   static constexpr std::size_t kMaxGathered = 256U << 10U;
+  /// The same while memory is short.
+  static constexpr std::size_t kMaxGatheredUnderPressure = 16U << 10U;
   /// Maximum size of a refusal's body that is read.
   static constexpr std::size_t kMaxRefusal = 64U << 10U;
 
@@ -97,7 +100,9 @@
   /// The caller's id of this attempt.
   std::string attemptId_;
   MessageHead head_;
-  std::string body_;
+  std::shared_ptr<const std::string> body_;
+  MemoryCharge bodyCharge_;
+  MemoryCharge gatheredCharge_;
   std::shared_ptr<TargetConnection> connection_;
   int attempt_ = 0;
   Mode mode_ = Mode::kNone;
@@ -116,8 +121,12 @@
   std::string route_;
   bool isStream_ = false;
 
-  [[nodiscard]] auto RequestText(const SendAttempt& aAttempt) const
+  /// The head of the request to the target.
+  [[nodiscard]] auto RequestHead(const SendAttempt& aAttempt) const
     -> std::string;
+  [[nodiscard]] auto GatherLimit() const -> std::size_t;
+  auto ChargeGathered() -> void;
+  auto Take(std::string aBody) -> void;
   auto BeginAnswer(bool aWithLength) -> void;
   /// Adds the Connection field if the connection closes after this answer.
   auto AppendConnection(std::string* aText) -> void;
--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -4,6 +4,7 @@
 #include "base/boot_clock.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -52,15 +53,33 @@
     return;
   }
   reading_ = true;
-  socket_.async_read_some(
-    asio::buffer(readBuffer_),
-    [self = shared_from_this()](const boost::system::error_code& aError,
-                                std::size_t aBytes) {
+  socket_.async_wait(
+    asio::socket_base::wait_read,
+    [self = shared_from_this()](const boost::system::error_code& aError) {
       self->reading_ = false;
-      self->OnRead(aError, aBytes);
+      if (aError) {
+        self->OnRead(aError, 0);
+      } else {
+        self->OnReadable();
+      }
     });
 }
 
+auto TargetConnection::OnReadable() -> void
+{
+  if (paused_ || state_ == State::kClosed) {
+    return;
+  }
+  boost::system::error_code error;
+  const auto bytes =
+    socket_.read_some(asio::buffer(memory_->SharedReadBuffer()), error);
+  if (error == asio::error::would_block) {
+    Read();
+    return;
+  }
+  OnRead(error, bytes);
+}
+
 auto TargetConnection::OnRead(const boost::system::error_code& aError,
                               std::size_t aBytes) -> void
 {
@@ -76,19 +95,26 @@
     OnConnectionEnd(aError);
     return;
   }
-  inbound_.append(readBuffer_.data(), aBytes);
+  inbound_.append(memory_->SharedReadBuffer().data(), aBytes);
   Parse();
+  if (inbound_.empty()) {
+    inbound_ = {};
+  }
+  inboundCharge_.Set(inbound_.capacity());
   Read();
 }
 
 auto TargetConnection::Write() -> void
 {
   writing_ = true;
+  const std::array<asio::const_buffer, 2> request{ asio::buffer(outbound_),
+                                                   asio::buffer(*body_) };
   asio::async_write(
-    socket_, asio::buffer(outbound_),
+    socket_, request,
     [self = shared_from_this()](const boost::system::error_code& aError,
                                 std::size_t /*aBytes*/) {
       self->writing_ = false;
+      self->body_.reset();
       // The target may have rejected the rest and still send its answer.
       if (aError) {
         self->mayKeep_ = false;
@@ -215,14 +241,19 @@
 }
 
 TargetConnection::TargetConnection(asio::io_context* aContext,
+                                   MemoryBudget* aMemory,
                                    Endpoint aEndpoint,
                                    StateHandler aOnState)
   : socket_(*aContext)
   , endpoint_(std::move(aEndpoint))
   , onState_(std::move(aOnState))
+  , memory_(aMemory)
+  , ownCharge_(aMemory, MemoryPurpose::kConnection)
+  , inboundCharge_(aMemory, MemoryPurpose::kUnparsed)
   , since_(BootNow())
   , idleLife_(kDefaultIdleLife)
 {
+  ownCharge_.Set(sizeof(TargetConnection));
 }
 
 auto TargetConnection::Open() -> void
@@ -248,6 +279,8 @@
         self->Break("connect: " + aError.message());
         return;
       }
+      boost::system::error_code ignored;
+      self->socket_.non_blocking(true, ignored);
       self->state_ = State::kBusy;
       const auto listener = self->listener_.lock();
       if (!listener) {
@@ -262,11 +295,13 @@
 }
 
 auto TargetConnection::Send(int aAttempt,
-                            std::string aRequest,
+                            std::string aHead,
+                            std::shared_ptr<const std::string> aBody,
                             std::weak_ptr<AttemptListener> aListener) -> void
 {
   attempt_ = aAttempt;
-  outbound_ = std::move(aRequest);
+  outbound_ = std::move(aHead);
+  body_ = std::move(aBody);
   listener_ = std::move(aListener);
   reader_.emplace(kHeaderLimit, UINT64_MAX);
   answering_ = false;
--- a/src/connection/target_connection.h
+++ b/src/connection/target_connection.h
@@ -3,10 +3,10 @@
 
 #include "adapter/http_fetch.h"
 #include "base/time.h"
+#include "connection/memory_budget.h"
 #include "connection/message_reader.h"
 #include "process/forwarding/forwarding_node.h"
 
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
@@ -60,7 +60,6 @@
   using StateHandler = std::function<void(TargetConnection*)>;
 
 private:
-  static constexpr std::size_t kReadBytes = 16U << 10U;
   static constexpr std::uint32_t kHeaderLimit = 64U << 10U;
   /// Maximum size of an incomplete chunk header or trailer.
   static constexpr std::size_t kMaxUnparsed = 64U << 10U;
@@ -71,9 +70,13 @@
   boost::asio::ip::tcp::socket socket_;
   Endpoint endpoint_;
   StateHandler onState_;
-  std::array<char, kReadBytes> readBuffer_{};
+  MemoryBudget* memory_;
+  MemoryCharge ownCharge_;
+  MemoryCharge inboundCharge_;
   std::string inbound_;
   std::string outbound_;
+  /// The request's body, shared with its exchange.
+  std::shared_ptr<const std::string> body_;
   std::optional<AnswerReader> reader_;
   std::weak_ptr<AttemptListener> listener_;
   int attempt_ = 0;
@@ -97,6 +100,7 @@
   Duration idleLife_;
 
   auto Read() -> void;
+  auto OnReadable() -> void;
   auto OnRead(const boost::system::error_code& aError, std::size_t aBytes)
     -> void;
   auto Write() -> void;
@@ -108,6 +112,7 @@
 
 public:
   TargetConnection(boost::asio::io_context* aContext,
+                   MemoryBudget* aMemory,
                    Endpoint aEndpoint,
                    StateHandler aOnState);
 
@@ -115,7 +120,8 @@
   auto Open() -> void;
   /// Serves an attempt; the connection is new or idle.
   auto Send(int aAttempt,
-            std::string aRequest,
+            std::string aHead,
+            std::shared_ptr<const std::string> aBody,
             std::weak_ptr<AttemptListener> aListener) -> void;
   /// Ends the attempt and closes without notifying the listener.
   auto Cancel() -> void;
--- a/src/connection/target_pool.cpp
+++ b/src/connection/target_pool.cpp
@@ -32,13 +32,15 @@
   open_.erase(self);
 }
 
-TargetPool::TargetPool(boost::asio::io_context* aContext)
+TargetPool::TargetPool(boost::asio::io_context* aContext, MemoryBudget* aMemory)
   : context_(aContext)
+  , memory_(aMemory)
 {
 }
 
 auto TargetPool::Send(const SendAttempt& aAttempt,
-                      std::string aRequest,
+                      std::string aHead,
+                      std::shared_ptr<const std::string> aBody,
                       std::weak_ptr<AttemptListener> aListener)
   -> std::shared_ptr<TargetConnection>
 {
@@ -49,18 +51,18 @@
     auto connection = place.idle_.back();
     place.idle_.pop_back();
     ++reused_;
-    connection->Send(aAttempt.attempt_, std::move(aRequest),
+    connection->Send(aAttempt.attempt_, std::move(aHead), std::move(aBody),
                      std::move(aListener));
     return connection;
   }
   ++opened_;
   auto connection = std::make_shared<TargetConnection>(
-    context_, Endpoint{ aAttempt.host_, aAttempt.port_ },
+    context_, memory_, Endpoint{ aAttempt.host_, aAttempt.port_ },
     [this, target = aAttempt.target_](TargetConnection* aConnection) {
       OnState(target, aConnection);
     });
   open_.insert(connection);
-  connection->Send(aAttempt.attempt_, std::move(aRequest),
+  connection->Send(aAttempt.attempt_, std::move(aHead), std::move(aBody),
                    std::move(aListener));
   connection->Open();
   return connection;
--- a/src/connection/target_pool.h
+++ b/src/connection/target_pool.h
@@ -25,6 +25,7 @@
   };
 
   boost::asio::io_context* context_;
+  MemoryBudget* memory_;
   std::map<TargetId, Place> places_;
   std::set<std::shared_ptr<TargetConnection>> open_;
   std::int64_t opened_ = 0;
@@ -33,11 +34,12 @@
   auto OnState(TargetId aTarget, TargetConnection* aConnection) -> void;
 
 public:
-  explicit TargetPool(boost::asio::io_context* aContext);
+  TargetPool(boost::asio::io_context* aContext, MemoryBudget* aMemory);
 
   /// Sends an attempt on a kept connection or a new one.
   auto Send(const SendAttempt& aAttempt,
-            std::string aRequest,
+            std::string aHead,
+            std::shared_ptr<const std::string> aBody,
             std::weak_ptr<AttemptListener> aListener)
     -> std::shared_ptr<TargetConnection>;
   /// Closes connections that took too long to open, and idle ones past use.
--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -43,6 +43,10 @@
 /// Above this, connections that have been idle for kShedIdle are closed.
 constexpr std::size_t kManyCallers = 2000;
 constexpr Duration kShedIdle = 2s;
+/// Shortest time between two searches for connections to close, each of which
+/// looks at all of them.
+constexpr Duration kReliefInterval = 5ms;
+constexpr Duration kMemoryLineInterval = 1s;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -89,7 +93,10 @@
       });
       return false;
     }
-    if (callers_.size() >= kMaxCallers) {
+    if (callers_.size() >= kMaxCallers ||
+        !memory_.Pressure().MayHold(memory_.Held(), 0,
+                                    sizeof(CallerConnection))) {
+      memory_.Count(MemoryAction::kConnectionRejected);
       continue;
     }
     auto caller = std::make_shared<CallerConnection>(
@@ -204,6 +211,7 @@
       caller->CloseIfIdle(kShedIdle);
     }
   }
+  CheckMemory(aNow);
   NoteReadiness();
   if (aNow - lastSettingsLook_ >= kSettingsInterval) {
     lastSettingsLook_ = aNow;
@@ -214,6 +222,60 @@
   }
 }
 
+auto ForwardingProcess::CheckMemory(Instant aNow) -> void
+{
+  LogMemory(aNow);
+  if (memory_.Level() >= MemoryLevel::kClose) {
+    RelieveMemory(0);
+  }
+  if (memory_.Level() < MemoryLevel::kBackpressure && !hasPausedBodies_) {
+    return;
+  }
+  const std::vector<std::shared_ptr<CallerConnection>> callers(callers_.begin(),
+                                                               callers_.end());
+  std::vector<BodyInProgress> bodies;
+  for (std::size_t i = 0; i < callers.size(); ++i) {
+    if (auto body = callers[i]->Body(aNow)) {
+      body->id_ = i;
+      bodies.push_back(*body);
+    }
+  }
+  const auto paused =
+    memory_.Pressure().SelectPaused(memory_.Held(), std::move(bodies));
+  hasPausedBodies_ = !paused.empty();
+  const std::set<std::uint64_t> isPaused(paused.begin(), paused.end());
+  for (std::size_t i = 0; i < callers.size(); ++i) {
+    callers[i]->SetReadPaused(isPaused.contains(i));
+  }
+}
+
+auto ForwardingProcess::LogMemory(Instant aNow) -> void
+{
+  if (aNow - lastMemoryLine_ < kMemoryLineInterval) {
+    return;
+  }
+  lastMemoryLine_ = aNow;
+  const auto level = memory_.Level();
+  if (level != loggedLevel_) {
+    loggedLevel_ = level;
+    log_.Write(
+      "memory_level",
+      { { "level", MemoryLevelName(level) },
+        { "held", static_cast<std::int64_t>(memory_.Held()) },
+        { "limit", static_cast<std::int64_t>(memory_.Pressure().Limit()) } });
+  }
+  for (std::size_t i = 0; i < kMemoryActions.size(); ++i) {
+    const auto total = memory_.Total(kMemoryActions[i].action_);
+    const auto count = total - std::exchange(loggedActions_[i], total);
+    if (count > 0) {
+      log_.Write("memory_action",
+                 { { "action", kMemoryActions[i].name_ },
+                   { "count", count },
+                   { "held", static_cast<std::int64_t>(memory_.Held()) } });
+    }
+  }
+}
+
 auto ForwardingProcess::StopWhenDone(Instant aNow) -> void
 {
   const auto stopping = aNow - *stopSince_;
@@ -260,6 +322,7 @@
   settings_.forwarding_ = settings->forwarding_;
   settings_.grace_ = settings->grace_;
   settings_.store_ = settings->store_;
+  memory_.SetLimit(settings->bufferBytes_);
   node_.SetOptions(settings_.forwarding_);
   source_.SetSettings(settings_);
   log_.Write("settings_reloaded", { { "cause", aCause } });
@@ -383,6 +446,16 @@
   add("target_connections", static_cast<std::int64_t>(targets_.OpenCount()));
   add("target_connections_opened_total", targets_.OpenedTotal());
   add("target_connections_reused_total", targets_.ReusedTotal());
+  add("memory_limit_bytes",
+      static_cast<std::int64_t>(memory_.Pressure().Limit()));
+  for (const auto& row : kMemoryPurposes) {
+    add(fmt::format("memory_held_bytes{{purpose=\"{}\"}}", row.name_),
+        static_cast<std::int64_t>(memory_.HeldFor(row.purpose_)));
+  }
+  for (const auto& row : kMemoryActions) {
+    add(fmt::format("memory_actions_total{{action=\"{}\"}}", row.name_),
+        memory_.Total(row.action_));
+  }
   add("store_calls_total", source_.Calls());
   add("records_skipped_total", source_.GarbledCount());
   add("peer_bytes_sent_total", peerBytesSent_);
@@ -400,9 +473,10 @@
   : settingsPath_(std::move(aSettingsPath))
   , settingsText_(std::move(aSettingsText))
   , settings_(std::move(aSettings))
+  , memory_(settings_.bufferBytes_)
   , log_(settings_.self_.name_)
   , node_(settings_.forwarding_, settings_.self_, IncarnationNow(), &log_)
-  , targets_(&context_)
+  , targets_(&context_, &memory_)
   , source_(&context_, settings_, this, &log_)
   , acceptor_(context_)
   , peers_(context_)
@@ -441,6 +515,33 @@
   return targets_;
 }
 
+auto ForwardingProcess::Memory() -> MemoryBudget&
+{
+  return memory_;
+}
+
+auto ForwardingProcess::RelieveMemory(std::size_t aNeeded) -> void
+{
+  const auto now = BootNow();
+  if (now - lastRelief_ < kReliefInterval) {
+    return;
+  }
+  lastRelief_ = now;
+  const std::vector<std::shared_ptr<CallerConnection>> callers(callers_.begin(),
+                                                               callers_.end());
+  std::vector<MemoryHolder> holders;
+  for (std::size_t i = 0; i < callers.size(); ++i) {
+    if (auto holder = callers[i]->Holder(now)) {
+      holder->id_ = i;
+      holders.push_back(*holder);
+    }
+  }
+  for (const auto id : memory_.Pressure().SelectClosed(memory_.Held(), aNeeded,
+                                                       std::move(holders))) {
+    callers[id]->GiveUpMemory();
+  }
+}
+
 auto ForwardingProcess::Adapter() const -> const ProtocolAdapter&
 {
   return adapter_;
--- a/src/main/forwarding_process.h
+++ b/src/main/forwarding_process.h
@@ -12,6 +12,7 @@
 #include "platform/store_source.h"
 #include "process/forwarding/discovery_sink.h"
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -36,6 +37,8 @@
   std::string settingsPath_;
   std::string settingsText_;
   ProcessSettings settings_;
+  /// Outlives the context, whose handlers hold connections.
+  MemoryBudget memory_;
   boost::asio::io_context context_{ 1 };
   BoundedLog log_;
   ForwardingNode node_;
@@ -64,6 +67,11 @@
   std::int64_t peerBytesSent_ = 0;
   std::int64_t garbledDatagrams_ = 0;
   std::int64_t unsentDatagrams_ = 0;
+  Instant lastRelief_{};
+  bool hasPausedBodies_ = false;
+  Instant lastMemoryLine_{};
+  MemoryLevel loggedLevel_ = MemoryLevel::kFree;
+  std::array<std::int64_t, kMemoryActions.size()> loggedActions_{};
 
   auto WaitForCallers() -> void;
   /// Takes the connections that wait; whether to wait for more at once.
@@ -74,6 +82,10 @@
   auto ScheduleTick() -> void;
   auto Tick() -> void;
   auto Sweep(Instant aNow) -> void;
+  /// Pauses and closes connections as far as memory requires it.
+  auto CheckMemory(Instant aNow) -> void;
+  /// At most one line a second, where something has changed.
+  auto LogMemory(Instant aNow) -> void;
   auto StopWhenDone(Instant aNow) -> void;
   auto LookAtSettings(std::string_view aCause) -> void;
   auto NoteReadiness() -> void;
@@ -93,6 +105,8 @@
   auto Node() -> ForwardingNode& override;
   auto Settle() -> void override;
   auto Targets() -> TargetPool& override;
+  auto Memory() -> MemoryBudget& override;
+  auto RelieveMemory(std::size_t aNeeded) -> void override;
   [[nodiscard]] auto Adapter() const -> const ProtocolAdapter& override;
   [[nodiscard]] auto Log() -> EventLog& override;
   auto Record(const ExchangeTiming& aTiming) -> void override;
--- a/tests/main/bounded_memory_test.cpp
+++ b/tests/main/bounded_memory_test.cpp
@@ -1,8 +1,12 @@
 #include "support/forward_process.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <csignal>
 #include <filesystem>
 #include <vector>
 
@@ -203,5 +207,189 @@
                            return std::string(aInfo.param.name_);
                          });
 
+class StalledBodyTest : public ForwardProcess
+{
+protected:
+  auto SetUp() -> void override
+  {
+    idleTimeout_ = 600ms;
+    ForwardProcess::SetUp();
+  }
+};
+
+// Guards against bodies that keep their connection and memory for ever, and
+// against an end that does not say that nothing has run.
+TEST_F(StalledBodyTest, BodyWithoutProgressEndsAsNotRun)
+{
+  const auto answer = SendRaw(
+    kCallerPort,
+    "POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\nstart");
+  EXPECT_EQ(Status(answer), "408");
+  EXPECT_TRUE(Seen().empty());
+}
+
+TEST_F(StalledBodyTest, BodyInChunksWithoutProgressEndsAsNotRun)
+{
+  const auto answer =
+    SendRaw(kCallerPort, "POST /once/x HTTP/1.1\r\nHost: h\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n5\r\nstart");
+  EXPECT_EQ(Status(answer), "408");
+  EXPECT_TRUE(Seen().empty());
+}
+
+// Guards against a time limit that cuts slow but steady callers.
+TEST_F(StalledBodyTest, BodyThatProgressesIsServedHoweverLongItTakes)
+{
+  constexpr int kPieces = 9;
+  const std::string piece(10'000, 'x');
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.connect({ asio::ip::make_address("127.0.0.1"), kCallerPort });
+  asio::write(socket, asio::buffer("POST /once/x HTTP/1.1\r\nHost: h\r\n"
+                                   "X-Attempt-Id: a1\r\nConnection: close\r\n"
+                                   "Content-Length: " +
+                                   std::to_string(kPieces * piece.size()) +
+                                   "\r\n\r\n"));
+  for (int i = 0; i < kPieces; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    asio::write(socket, asio::buffer(piece));
+  }
+  std::string answer;
+  boost::system::error_code error;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  EXPECT_EQ(Status(answer), "200");
+}
+
+/// Callers that ask for a long response and do not read it.
+class SlowReaderTest : public WatchedProcess
+{
+protected:
+  static constexpr std::size_t kAnswerBytes = 30U << 20U;
+
+  asio::io_context context_;
+
+  auto SetLongAnswers() -> void
+  {
+    SetScripts([](const std::string& aRequest) {
+      return ScriptedAnswer{ Good(aRequest, std::string(kAnswerBytes, 'x')) };
+    });
+  }
+
+  auto AskWithoutReading() -> asio::ip::tcp::socket
+  {
+    asio::ip::tcp::socket socket(context_);
+    socket.connect({ asio::ip::make_address("127.0.0.1"), kCallerPort });
+    asio::write(socket, asio::buffer(std::string(
+                          "GET /once/x HTTP/1.1\r\nHost: h\r\n"
+                          "X-Attempt-Id: a1\r\nX-Deadline-Ms: 20000\r\n"
+                          "Connection: close\r\n\r\n")));
+    return socket;
+  }
+};
+
+class SlowReaderWithRoomTest : public SlowReaderTest
+{
+protected:
+  auto SetUp() -> void override
+  {
+    memoryMb_ = 512;
+    SlowReaderTest::SetUp();
+  }
+};
+
+// Guards against a target that cuts off a response because a slow caller kept
+// the router from reading it, though there was memory for it.
+TEST_F(SlowReaderWithRoomTest, TargetIsReadToItsEnd)
+{
+  SetLongAnswers();
+  auto socket = AskWithoutReading();
+  // The kernel's buffers of both connections hold part of the response.
+  EXPECT_TRUE(WaitUntil([] {
+    return Metric("memory_held_bytes{purpose=\"unread\"}") >
+             static_cast<long>(kAnswerBytes / 2) &&
+           Metric("requests_open") == 0;
+  }));
+  std::string answer;
+  boost::system::error_code error;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  EXPECT_EQ(Status(answer), "200");
+  EXPECT_GT(answer.size(), kAnswerBytes);
+}
+
+class SlowReaderWithoutRoomTest : public SlowReaderTest
+{
+protected:
+  static constexpr int kMemoryMb = 64;
+  static constexpr int kMostResidentKb = kMemoryMb * 1024 * 3 / 4;
+  static constexpr int kCallers = 20;
+
+  auto SetUp() -> void override
+  {
+    memoryMb_ = kMemoryMb;
+    SlowReaderTest::SetUp();
+  }
+};
+
+// Guards against unread responses that take the process over its memory.
+TEST_F(SlowReaderWithoutRoomTest, ProcessLivesAndServes)
+{
+  SetLongAnswers();
+  std::vector<asio::ip::tcp::socket> sockets;
+  for (int i = 0; i < kCallers; ++i) {
+    sockets.push_back(AskWithoutReading());
+  }
+  int mostResident = 0;
+  for (int i = 0; i < 100; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    mostResident = std::max(mostResident, ResidentKb());
+  }
+  EXPECT_TRUE(process_.IsRunning());
+  EXPECT_LT(mostResident, kMostResidentKb);
+  SetScripts([](const std::string& aRequest) {
+    return ScriptedAnswer{ Good(aRequest, "whole") };
+  });
+  EXPECT_TRUE(WaitUntil([] { return Status(Ask("/once/x")) == "200"; }));
+}
+
+class SmallBufferTest : public WatchedProcess
+{
+protected:
+  auto SetUp() -> void override
+  {
+    memoryMb_ = 512;
+    WatchedProcess::SetUp();
+    std::ifstream file(settings_);
+    std::string text(std::istreambuf_iterator<char>(file), {});
+    const std::string limits = "\"limits\":{";
+    text.insert(text.find(limits) + limits.size(), "\"bufferMb\":1,");
+    std::ofstream(settings_) << text;
+    process_.Signal(SIGHUP);
+    ASSERT_TRUE(WaitUntil([] { return Metric("memory_limit_bytes") == kMb; }));
+  }
+
+  static constexpr long kMb = 1L << 20U;
+};
+
+TEST_F(SmallBufferTest, BodyThatDoesNotFitIsToldAsNotRun)
+{
+  // Within the body limit, but beyond what may be held besides.
+  std::vector<std::thread> callers;
+  std::atomic<int> others{ 0 };
+  std::atomic<int> refused{ 0 };
+  for (int i = 0; i < 30; ++i) {
+    callers.emplace_back([&] {
+      const auto status = Status(Ask("/once/x", std::string(100'000, 'x')));
+      refused += status == "503" ? 1 : 0;
+      others += status != "503" && status != "200" ? 1 : 0;
+    });
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  EXPECT_EQ(others, 0);
+  EXPECT_EQ(static_cast<int>(Seen().size()), 30 - refused);
+  EXPECT_EQ(Status(Ask("/once/x", std::string(100'000, 'x'))), "200");
+}
+
 } // namespace
 } // namespace burdockring
--- a/tests/platform/process_settings_test.cpp
+++ b/tests/platform/process_settings_test.cpp
@@ -35,6 +35,24 @@
   EXPECT_NE(findings.ToText().find("/bounds/graceS"), std::string::npos);
 }
 
+TEST(ProcessSettings, BufferFollowsTheMemoryUnlessItIsSet)
+{
+  const auto bufferMb = [](const std::string& aLimits) {
+    auto text = kSettings;
+    text.insert(1, R"("limits":)" + aLimits + ",");
+    FindingList findings;
+    const auto settings = ReadProcessSettings(text, "f", &findings);
+    return settings ? settings->bufferBytes_ >> 20U : 0;
+  };
+  EXPECT_EQ(bufferMb("{}"), 40U);
+  EXPECT_EQ(bufferMb(R"({"memoryMb":120})"), 40U);
+  EXPECT_EQ(bufferMb(R"({"memoryMb":512})"), 236U);
+  EXPECT_EQ(bufferMb(R"({"memoryMb":30})"), 16U);
+  EXPECT_EQ(bufferMb(R"({"memoryMb":512,"bufferMb":20})"), 20U);
+  EXPECT_EQ(bufferMb(R"({"bufferMb":0.5})"), 0U) << "below the least value";
+  EXPECT_EQ(bufferMb(R"({"memoryMb":1e300})"), 499'980U);
+}
+
 TEST(ProcessSettings, NoJsonIsAFinding)
 {
   FindingList findings;
