Read a reused target connection that was paused at the end of its last response

A connection that became idle while its response was still paused for the caller was never read again: the next requests on it ended with 504 (3 of 6 in SmallBufferTest.PausedTargetConnectionIsReadAgain before this change).

--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -199,6 +199,8 @@
   listener_.reset();
   answering_ = false;
   reader_.reset();
+  // A pause is for the caller of this answer only.
+  paused_ = false;
   const bool keep = mayKeep_ && !writing_ && inbound_.empty();
   if (keep) {
     state_ = State::kIdle;
--- a/tests/main/bounded_memory_test.cpp
+++ b/tests/main/bounded_memory_test.cpp
@@ -370,6 +370,19 @@
   static constexpr long kMb = 1L << 20U;
 };
 
+// Guards against a connection that was paused as its response ended, and then
+// is not read for the next request.
+TEST_F(SmallBufferTest, PausedTargetConnectionIsReadAgain)
+{
+  SetScripts([](const std::string& aRequest) {
+    return ScriptedAnswer{ Good(aRequest,
+                                std::string((256U << 10U) + 1, 'x')) };
+  });
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(Status(Ask("/once/x", "b", "X-Deadline-Ms: 2000\r\n")), "200");
+  }
+}
+
 TEST_F(SmallBufferTest, BodyThatDoesNotFitIsToldAsNotRun)
 {
   // Within the body limit, but beyond what may be held besides.
