--- a/src/connection/caller_connection.cpp
+++ b/src/connection/caller_connection.cpp
@@ -62,7 +62,8 @@
   if (reading_ || closed_) {
     return;
   }
-  const bool isShort = port_->Memory().Level() >= MemoryLevel::kBackpressure;
+  const auto& memory = port_->Memory();
+  const bool isShort = memory.Level() >= MemoryLevel::kBackpressure;
   if (exchange_ &&
       inbound_.size() >= (isShort ? kMaxAheadUnderPressure : kMaxAhead)) {
     return;
@@ -70,46 +71,21 @@
   if (pausedSince_) {
     return;
   }
+  if (exchange_ &&
+      !memory.Pressure().MayHold(memory.Held(), 0, MemoryBudget::kReadBytes)) {
+    // CheckTime reads on.
+    return;
+  }
   reading_ = true;
-  socket_.async_wait(
-    asio::socket_base::wait_read,
-    [self = shared_from_this()](const boost::system::error_code& aError) {
+  socket_.async_read_some(
+    asio::buffer(first_),
+    [self = shared_from_this()](const boost::system::error_code& aError,
+                                std::size_t aBytes) {
       self->reading_ = false;
-      if (aError) {
-        self->OnRead(aError, 0);
-      } else {
-        self->OnReadable();
-      }
+      self->OnRead(aError, aBytes);
     });
 }
 
-auto CallerConnection::OnReadable() -> void
-{
-  if (closed_ || pausedSince_) {
-    return;
-  }
-  if (!lingering_ && !HasRoomToRead()) {
-    if (closed_) {
-      return;
-    }
-    if (exchange_) {
-      // CheckTime reads on.
-      return;
-    }
-    if (!lingering_) {
-      RefuseMessage(kUnavailable, MemoryAction::kBodyClosed);
-    }
-  }
-  boost::system::error_code error;
-  const auto bytes =
-    socket_.read_some(asio::buffer(port_->Memory().SharedReadBuffer()), error);
-  if (error == asio::error::would_block) {
-    Read();
-    return;
-  }
-  OnRead(error, bytes);
-}
-
 auto CallerConnection::HasRoomToRead() -> bool
 {
   auto& memory = port_->Memory();
@@ -136,8 +112,24 @@
     Close();
     return;
   }
+  auto& shared = port_->Memory().SharedReadBuffer();
+  std::size_t more = 0;
+  if (aBytes == first_.size() && !pausedSince_) {
+    // An error comes again with the next read.
+    boost::system::error_code ignored;
+    more = socket_.read_some(asio::buffer(shared), ignored);
+  }
+  if (!lingering_ && !exchange_ && !HasRoomToRead()) {
+    if (closed_) {
+      return;
+    }
+    if (!lingering_) {
+      RefuseMessage(kUnavailable, MemoryAction::kBodyClosed);
+    }
+  }
   if (!lingering_) {
-    inbound_.append(port_->Memory().SharedReadBuffer().data(), aBytes);
+    inbound_.append(first_.data(), aBytes);
+    inbound_.append(shared.data(), more);
     Parse();
     if (inbound_.empty()) {
       inbound_ = {};
@@ -157,7 +149,7 @@
   asio::async_write(
     socket_, asio::buffer(writing_),
     [this](const boost::system::error_code& aError, std::size_t aBytes) {
-      if (aBytes > 0) {
+      if (aBytes > 0 && aBytes < writing_.size()) {
         lastWritten_ = BootNow();
       }
       return asio::transfer_all()(aError, aBytes);
--- a/src/connection/caller_connection.h
+++ b/src/connection/caller_connection.h
@@ -64,6 +64,7 @@
   MemoryCharge unparsedCharge_;
   MemoryCharge bodyCharge_;
   MemoryCharge unreadCharge_;
+  MemoryBudget::FirstBuffer first_{};
   std::string inbound_;
   std::string outbound_;
   std::string writing_;
@@ -94,7 +95,6 @@
   bool continued_ = false;
 
   auto Read() -> void;
-  auto OnReadable() -> void;
   /// Whether what is read next may be buffered, after relief if need be.
   auto HasRoomToRead() -> bool;
   auto OnRead(const boost::system::error_code& aError, std::size_t aBytes)
--- a/src/connection/memory_budget.h
+++ b/src/connection/memory_budget.h
@@ -85,6 +85,9 @@
 public:
   static constexpr std::size_t kReadBytes = 16U << 10U;
   using ReadBuffer = std::array<char, kReadBytes>;
+  /// What a connection reads first; the rest goes into the shared buffer. Most
+  /// requests and events of streams are smaller.
+  using FirstBuffer = std::array<char, 1024>;
 
 private:
   MemoryPressure pressure_;
--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -53,33 +53,15 @@
     return;
   }
   reading_ = true;
-  socket_.async_wait(
-    asio::socket_base::wait_read,
-    [self = shared_from_this()](const boost::system::error_code& aError) {
+  socket_.async_read_some(
+    asio::buffer(first_),
+    [self = shared_from_this()](const boost::system::error_code& aError,
+                                std::size_t aBytes) {
       self->reading_ = false;
-      if (aError) {
-        self->OnRead(aError, 0);
-      } else {
-        self->OnReadable();
-      }
+      self->OnRead(aError, aBytes);
     });
 }
 
-auto TargetConnection::OnReadable() -> void
-{
-  if (paused_ || state_ == State::kClosed) {
-    return;
-  }
-  boost::system::error_code error;
-  const auto bytes =
-    socket_.read_some(asio::buffer(memory_->SharedReadBuffer()), error);
-  if (error == asio::error::would_block) {
-    Read();
-    return;
-  }
-  OnRead(error, bytes);
-}
-
 auto TargetConnection::OnRead(const boost::system::error_code& aError,
                               std::size_t aBytes) -> void
 {
@@ -95,7 +77,14 @@
     OnConnectionEnd(aError);
     return;
   }
-  inbound_.append(memory_->SharedReadBuffer().data(), aBytes);
+  inbound_.append(first_.data(), aBytes);
+  if (aBytes == first_.size() && !paused_) {
+    // An error comes again with the next read.
+    boost::system::error_code ignored;
+    auto& shared = memory_->SharedReadBuffer();
+    inbound_.append(shared.data(),
+                    socket_.read_some(asio::buffer(shared), ignored));
+  }
   Parse();
   if (inbound_.empty()) {
     inbound_ = {};
--- a/src/connection/target_connection.h
+++ b/src/connection/target_connection.h
@@ -73,6 +73,7 @@
   MemoryBudget* memory_;
   MemoryCharge ownCharge_;
   MemoryCharge inboundCharge_;
+  MemoryBudget::FirstBuffer first_{};
   std::string inbound_;
   std::string outbound_;
   /// The request's body, shared with its exchange.
@@ -100,7 +101,6 @@
   Duration idleLife_;
 
   auto Read() -> void;
-  auto OnReadable() -> void;
   auto OnRead(const boost::system::error_code& aError, std::size_t aBytes)
     -> void;
   auto Write() -> void;
