--- a/tests/main/bounded_memory_test.cpp
+++ b/tests/main/bounded_memory_test.cpp
@@ -404,5 +404,37 @@
   EXPECT_EQ(Status(Ask("/once/x", std::string(100'000, 'x'))), "200");
 }
 
+class LargestRequestTest : public ForwardProcess
+{
+protected:
+  static constexpr std::size_t kBodyBytes = 4'194'304;
+
+  auto SetUp() -> void override
+  {
+    memoryMb_ = 64;
+    bodyBytes_ = kBodyBytes;
+    ForwardProcess::SetUp();
+  }
+};
+
+// Guards against a budget that keeps out a request within the documented
+// limits.
+TEST_F(LargestRequestTest, IsServedOnASmallVm)
+{
+  const std::string body(kBodyBytes, 'x');
+  EXPECT_EQ(Status(Ask("/once/x", body)), "200");
+  EXPECT_EQ(
+    Status(SendRaw(kCallerPort, "POST /once/x HTTP/1.1\r\nHost: h\r\n"
+                                "X-Attempt-Id: a1\r\nConnection: close\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n400000\r\n" +
+                                  body + "\r\n0\r\n\r\n")),
+    "200");
+  const auto seen = Seen();
+  ASSERT_EQ(seen.size(), 2U);
+  for (const auto& request : seen) {
+    EXPECT_TRUE(request.ends_with("\r\n\r\n" + body));
+  }
+}
+
 } // namespace
 } // namespace burdockring
--- a/tests/support/forward_process.h
+++ b/tests/support/forward_process.h
@@ -45,6 +45,7 @@
   int memoryMb_ = 0;
   /// Longest time without progress of a caller's connection.
   Duration idleTimeout_ = 15s;
+  std::uint64_t bodyBytes_ = 100'000;
   std::string settings_ =
     testing::TempDir() + "burdockring-forward-settings.json";
 
@@ -82,6 +83,7 @@
     StandinConfiguration configuration;
     configuration.version_ = 3;
     configuration.idleTimeout_ = idleTimeout_;
+    configuration.bodyBytes_ = bodyBytes_;
     configuration.routes_[1].public_ = true;
     configuration.routes_[1].maxAttempts_ = attemptsOfUnsafe_;
     configuration.routes_[2].public_ = true;
