--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -4,6 +4,7 @@
 #include "base/boot_clock.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -53,7 +54,7 @@
   }
   reading_ = true;
   socket_.async_read_some(
-    asio::buffer(readBuffer_),
+    asio::buffer(first_),
     [self = shared_from_this()](const boost::system::error_code& aError,
                                 std::size_t aBytes) {
       self->reading_ = false;
@@ -76,19 +77,33 @@
     OnConnectionEnd(aError);
     return;
   }
-  inbound_.append(readBuffer_.data(), aBytes);
+  inbound_.append(first_.data(), aBytes);
+  if (aBytes == first_.size() && !paused_) {
+    // An error comes again with the next read.
+    boost::system::error_code ignored;
+    auto& shared = memory_->SharedReadBuffer();
+    inbound_.append(shared.data(),
+                    socket_.read_some(asio::buffer(shared), ignored));
+  }
   Parse();
+  if (inbound_.empty()) {
+    inbound_ = {};
+  }
+  inboundCharge_.Set(inbound_.capacity());
   Read();
 }
 
 auto TargetConnection::Write() -> void
 {
   writing_ = true;
+  const std::array<asio::const_buffer, 2> request{ asio::buffer(outbound_),
+                                                   asio::buffer(*body_) };
   asio::async_write(
-    socket_, asio::buffer(outbound_),
+    socket_, request,
     [self = shared_from_this()](const boost::system::error_code& aError,
                                 std::size_t /*aBytes*/) {
       self->writing_ = false;
+      self->body_.reset();
       // The target may have rejected the rest and still send its answer.
       if (aError) {
         self->mayKeep_ = false;
@@ -173,6 +188,8 @@
   listener_.reset();
   answering_ = false;
   reader_.reset();
+  // A pause is for the caller of this answer only.
+  paused_ = false;
   const bool keep = mayKeep_ && !writing_ && inbound_.empty();
   if (keep) {
     state_ = State::kIdle;
@@ -215,14 +232,19 @@
 }
 
 TargetConnection::TargetConnection(asio::io_context* aContext,
+                                   MemoryBudget* aMemory,
                                    Endpoint aEndpoint,
                                    StateHandler aOnState)
   : socket_(*aContext)
   , endpoint_(std::move(aEndpoint))
   , onState_(std::move(aOnState))
+  , memory_(aMemory)
+  , ownCharge_(aMemory, MemoryPurpose::kConnection)
+  , inboundCharge_(aMemory, MemoryPurpose::kUnparsed)
   , since_(BootNow())
   , idleLife_(kDefaultIdleLife)
 {
+  ownCharge_.Set(sizeof(TargetConnection));
 }
 
 auto TargetConnection::Open() -> void
@@ -248,6 +270,8 @@
         self->Break("connect: " + aError.message());
         return;
       }
+      boost::system::error_code ignored;
+      self->socket_.non_blocking(true, ignored);
       self->state_ = State::kBusy;
       const auto listener = self->listener_.lock();
       if (!listener) {
@@ -262,11 +286,13 @@
 }
 
 auto TargetConnection::Send(int aAttempt,
-                            std::string aRequest,
+                            std::string aHead,
+                            std::shared_ptr<const std::string> aBody,
                             std::weak_ptr<AttemptListener> aListener) -> void
 {
   attempt_ = aAttempt;
-  outbound_ = std::move(aRequest);
+  outbound_ = std::move(aHead);
+  body_ = std::move(aBody);
   listener_ = std::move(aListener);
   reader_.emplace(kHeaderLimit, UINT64_MAX);
   answering_ = false;
