Crash verdicts weigh crashes by the age of the lost answers

Cause, traced in virtual time: a target that loses five requests at once is avoided for 4 s, but a crash counts as confirmed only if a connection to the target is refused within 2 s. So hardly a crash was confirmed while many targets were down, and the verdict waited for six unconfirmed ones. A request that is retried crashes a second target within 100 ms, and both counted once. On the other hand, confirmed crashes of five targets at any age made a part a cause, and a session that was lost at every age by mass crashes got a verdict.

Change: crashes at about the same age of the answers make a part a cause if they weigh six: each 1, 2 if confirmed, and 1 more if simultaneous ones are over 25 ms apart. Late answers still need five targets. Crashes at any age need to be six, confirmed or not.

The new cases of CrashEvidenceTest fail on the old code, but for the two of crashes at other ages and within milliseconds, which guard the new weights.

A constant is renamed, as unconfirmed targets count too; the test that names it is otherwise unchanged.

--- a/src/process/quarantine/crash_evidence.cpp
+++ b/src/process/quarantine/crash_evidence.cpp
@@ -17,6 +17,12 @@
 constexpr double kSurvivalFactor = 1.5;
 constexpr Duration kSurvivalMargin = 150ms;
 
+/// Answers are lost at about the same age if the oldest one is at most this
+/// many times as old, and the margin. Smaller than the margins of survival, as
+/// the same age is evidence only where other answers are lost at many ages.
+constexpr double kSameAgeFactor = 1.2;
+constexpr Duration kSameAgeMargin = 20ms;
+
 auto MayShareCause(Instant aLeft, Instant aRight) -> bool
 {
   return std::max(aLeft, aRight) - std::min(aLeft, aRight) <=
@@ -210,18 +216,22 @@
             [](const Suspicion& aLeft, const Suspicion& aRight) {
               return aLeft.crash_->at_ < aRight.crash_->at_;
             });
+  Duration oldest = 0us;
+  for (const auto& suspicion : suspicions) {
+    oldest = std::max(oldest, suspicion.answerAge_);
+  }
   Score score;
   for (const auto& suspicion : suspicions) {
     const auto& crash = *suspicion.crash_;
-    const bool isEarly = suspicion.answerAge_ <= kEarlyAge;
     score.evidence_.insert(&crash);
     score.all_.Add(crash.at_);
-    if (crash.isConfirmed_) {
-      score.confirmed_.Add(crash.at_);
+    if (suspicion.answerAge_ <= kEarlyAge) {
+      score.early_.Add(crash);
     }
-    score.early_ += isEarly ? 1 : 0;
-    if (isEarly && crash.isConfirmed_) {
-      score.earlyConfirmed_.Add(crash.at_);
+    const auto sameAge =
+      ScaleDuration(suspicion.answerAge_, kSameAgeFactor) + kSameAgeMargin;
+    if (oldest <= sameAge) {
+      score.sameAge_.Add(crash);
     }
   }
   return score;
@@ -236,17 +246,43 @@
   }
 }
 
+auto CrashEvidence::CrashTally::Add(const Crash& aCrash) -> void
+{
+  ++targets_;
+  if (!first_ || aCrash.at_ - *first_ > kSimultaneous) {
+    first_ = aCrash.at_;
+    hasConfirmed_ = false;
+    isSpread_ = false;
+    ++count_;
+    ++weight_;
+  }
+  if (aCrash.isConfirmed_ && !hasConfirmed_) {
+    hasConfirmed_ = true;
+    ++weight_;
+  }
+  if (aCrash.at_ - *first_ > kCommonCauseSpan && !isSpread_) {
+    isSpread_ = true;
+    ++weight_;
+  }
+}
+
+auto CrashEvidence::CrashTally::IsEnough() const -> bool
+{
+  constexpr int kConfirmedWeight = 2;
+  return count_ >= kConfirmedCrashes &&
+         weight_ >= kConfirmedCrashes * kConfirmedWeight;
+}
+
 auto CrashEvidence::Score::Weight() const -> int
 {
-  return all_.targets_ + early_;
+  return all_.targets_ + std::max(early_.targets_, sameAge_.targets_);
 }
 
 auto CrashEvidence::IsCause(const Score& aScore) -> bool
 {
-  const bool hasManyTargets =
-    aScore.confirmed_.count_ >= kConfirmedCrashes &&
-    aScore.confirmed_.targets_ >= kConfirmedLateTargets;
-  return hasManyTargets || aScore.earlyConfirmed_.count_ >= kConfirmedCrashes ||
+  const bool isSameAge =
+    aScore.sameAge_.targets_ >= kLateTargets && aScore.sameAge_.IsEnough();
+  return isSameAge || aScore.early_.IsEnough() ||
          aScore.all_.count_ >= kUnconfirmedCrashes;
 }
 
--- a/src/process/quarantine/crash_evidence.h
+++ b/src/process/quarantine/crash_evidence.h
@@ -46,8 +46,8 @@
 /// So the parts of all requests lost at an early age are held against them, and
 /// an answer with the part that outlives the age anywhere afterwards, or ends
 /// whole, clears the part of the crash. A part is a cause if it was a suspect
-/// in several crashes of which it was not cleared. Of several such parts the
-/// one that explains the most crashes is the cause.
+/// in several crashes of which it was not cleared, at about the same age. Of
+/// several such parts the one that explains the most crashes is the cause.
 ///
 /// Crashes at nearly the same time count once, as they may have another common
 /// cause: a rack, a zone, a release, or a cut of this router's own links.
@@ -70,10 +70,10 @@
   /// may have been reset.
   static constexpr int kConfirmedCrashes = 3;
   static constexpr int kUnconfirmedCrashes = 6;
-  /// Crashes of single targets, known to have gone down, that it takes besides
-  /// where answers had gone on for longer than kEarlyAge. A part that many
-  /// requests have is lost in crashes of every cause.
-  static constexpr int kConfirmedLateTargets = 5;
+  /// Crashes of single targets, at about the same age of the answers, that it
+  /// takes besides where answers had gone on for longer than kEarlyAge. A part
+  /// that many requests have is lost in crashes of every cause.
+  static constexpr int kLateTargets = 5;
   static constexpr Duration kEarlyAge = 50ms;
   /// Crashes that make a part suspicious enough not to retry its requests.
   static constexpr int kSuspectCrashes = 2;
@@ -133,18 +133,39 @@
     auto Add(Instant aAt) -> void;
   };
 
+  /// Weighs crashes that ended answers at about the same age, added in the
+  /// order of time. Simultaneous ones weigh 1 together, 1 more if a target is
+  /// known to have gone down, and 1 more if they are further apart than
+  /// kCommonCauseSpan, as a request that is retried crashes one target after
+  /// the other.
+  struct CrashTally
+  {
+    /// All crashes, and those that are not simultaneous.
+    int targets_ = 0;
+    int count_ = 0;
+    int weight_ = 0;
+    /// The first crash of those counted last, and what these weigh.
+    std::optional<Instant> first_;
+    bool hasConfirmed_ = false;
+    bool isSpread_ = false;
+
+    auto Add(const Crash& aCrash) -> void;
+    /// Whether the crashes weigh as much as kConfirmedCrashes confirmed ones.
+    [[nodiscard]] auto IsEnough() const -> bool;
+  };
+
   struct Score
   {
     CrashCounter all_;
-    CrashCounter confirmed_;
-    CrashCounter earlyConfirmed_;
-    /// Crashes that ended answers early, simultaneous or not.
-    int early_ = 0;
+    /// Crashes that ended answers early, and those that ended them at about the
+    /// age of the oldest one.
+    CrashTally early_;
+    CrashTally sameAge_;
     /// All crashes, whether simultaneous or not.
     std::set<const Crash*> evidence_;
 
-    /// An answer lost early is the stronger evidence: the cause of a crash is
-    /// lost at about the same age each time, others at any.
+    /// Answers lost at the same age are the stronger evidence: the cause of a
+    /// crash is lost at about the same age each time, others at any.
     [[nodiscard]] auto Weight() const -> int;
   };
 
--- a/tests/process/quarantine/crash_evidence_test.cpp
+++ b/tests/process/quarantine/crash_evidence_test.cpp
@@ -97,13 +97,80 @@
 // A crash ends answers with a popular part at every age.
 TEST_F(CrashEvidenceTest, LateCrashesNeedMoreEvidence)
 {
-  for (int i = 0; i < CrashEvidence::kConfirmedLateTargets; ++i) {
+  for (int i = 0; i < CrashEvidence::kLateTargets; ++i) {
     EXPECT_TRUE(Causes(9s).empty()) << i;
     CrashIn(TargetId{ i }, { 7 }, 500ms, 1s + i * 1s);
   }
   EXPECT_EQ(Causes(9s), (std::vector<PartIds>{ { 7 } }));
 }
 
+// Nobody is refused a connection by targets that all avoid after a crash, so
+// few of the crashes were confirmed. Requests with the part were lost at the
+// same age each time, and some crashed a second target when they were retried.
+TEST_F(CrashEvidenceTest, CrashesAtTheSameAgeNeedFewConfirmations)
+{
+  const auto lose = [&](int aTarget, Duration aAge, Instant aAt) {
+    evidence_.AddLoss(TargetId{ aTarget }, { 7 }, aAge, aAt);
+  };
+  lose(1, 300ms, 1s);
+  CrashIn(kTarget2, { 7 }, 310ms, 2s);
+  lose(3, 290ms, 3s);
+  lose(4, 300ms, 4s);
+  EXPECT_TRUE(Causes(9s).empty());
+  lose(5, 305ms, 4040ms);
+  EXPECT_EQ(Causes(9s), (std::vector<PartIds>{ { 7 } }));
+}
+
+TEST_F(CrashEvidenceTest, CrashesAtOtherAgesNeedMoreConfirmations)
+{
+  const auto lose = [&](int aTarget, Duration aAge, Instant aAt) {
+    evidence_.AddLoss(TargetId{ aTarget }, { 7 }, aAge, aAt);
+  };
+  lose(1, 900ms, 1s);
+  CrashIn(kTarget2, { 7 }, 310ms, 2s);
+  lose(3, 500ms, 3s);
+  lose(4, 700ms, 4s);
+  lose(5, 100ms, 4040ms);
+  EXPECT_TRUE(Causes(9s).empty());
+}
+
+// A session lost answers of every age when half of the targets went down, three
+// times, and was put in quarantine.
+TEST_F(CrashEvidenceTest, ConfirmedCrashesAtManyAgesAreNoEvidence)
+{
+  CrashIn(kTarget1, { 7 }, 869ms, 1s);
+  CrashIn(kTarget2, { 7 }, 862ms, 8s);
+  CrashIn(kTarget3, { 7 }, 809ms, 8001ms);
+  CrashIn(kTarget4, { 7 }, 555ms, 8600ms);
+  CrashIn(TargetId{ 5 }, { 7 }, 568ms, 8601ms);
+  CrashIn(TargetId{ 6 }, { 7 }, 119ms, 8601ms);
+  EXPECT_TRUE(Causes(9500ms).empty());
+}
+
+TEST_F(CrashEvidenceTest, EarlyCrashesNeedFewConfirmations)
+{
+  const auto lose = [&](int aTarget, Instant aAt) {
+    evidence_.AddLoss(TargetId{ aTarget }, { 7 }, std::nullopt, aAt);
+  };
+  Crash(kTarget1, { 7 }, 1s);
+  Crash(kTarget2, { 7 }, 2s);
+  lose(3, 3s);
+  EXPECT_TRUE(Causes(9s).empty());
+  lose(4, 3040ms);
+  EXPECT_EQ(Causes(9s), (std::vector<PartIds>{ { 7 } }));
+}
+
+// A rack goes down within milliseconds, without a refused connection.
+TEST_F(CrashEvidenceTest, CrashesWithinMillisecondsWeighNoMoreThanOne)
+{
+  Crash(kTarget1, { 7 }, 1s);
+  Crash(kTarget2, { 7 }, 2s);
+  for (int i = 3; i < 9; ++i) {
+    evidence_.AddLoss(TargetId{ i }, { 7 }, std::nullopt, 3s + i * 2ms);
+  }
+  EXPECT_TRUE(Causes(9s).empty());
+}
+
 // The second crash ended an answer that was much older than the first one's.
 TEST_F(CrashEvidenceTest, LostAnswerClearsEarlierCrashesAtALowerAge)
 {
--- a/tests/process/quarantine/deadly_prompt_part_test.cpp
+++ b/tests/process/quarantine/deadly_prompt_part_test.cpp
@@ -339,6 +339,23 @@
     : DeadlyPartZone(std::get<0>(GetParam()), std::get<1>(GetParam()))
   {
   }
+
+  auto RunTwoDeadlyParts() -> void
+  {
+    traffic_.SetDeadlyParts({ kDeadlyPart, kDeadlyPart + 1 });
+    traffic_.SetDeadlyShare(0.03);
+    traffic_.Run(22s);
+  }
+
+  auto RunMassCrashes() -> void
+  {
+    for (int round = 0; round < 6; ++round) {
+      for (int target = round % 2; target < kTargets; target += 2) {
+        zone_.CrashEngine(TargetNumber(target));
+      }
+      traffic_.Run(round % 2 == 0 ? 600ms : 6s);
+    }
+  }
 };
 
 // Engines crashed after the first event, and the part was never quarantined, as
@@ -352,9 +369,7 @@
 
 TEST_P(DeadlyAnswerTest, TwoDeadlyPartsAreBothStopped)
 {
-  traffic_.SetDeadlyParts({ kDeadlyPart, kDeadlyPart + 1 });
-  traffic_.SetDeadlyShare(0.03);
-  traffic_.Run(22s);
+  RunTwoDeadlyParts();
   ExpectContained();
 }
 
@@ -379,12 +394,7 @@
 // Crashes that no part is to blame for end answers at every age.
 TEST_P(DeadlyAnswerTest, MassCrashesPutNoPartInQuarantine)
 {
-  for (int round = 0; round < 6; ++round) {
-    for (int target = round % 2; target < kTargets; target += 2) {
-      zone_.CrashEngine(TargetNumber(target));
-    }
-    traffic_.Run(round % 2 == 0 ? 600ms : 6s);
-  }
+  RunMassCrashes();
   ExpectNoQuarantine();
 }
 
@@ -406,23 +416,95 @@
   ExpectNoQuarantine();
 }
 
+const DeadlyAnswer kAtFirstEvent{ .name_ = "AtFirstEvent", .crashDelay_ = 0ms };
+const DeadlyAnswer kSoonAfter{ .name_ = "SoonAfter", .crashDelay_ = 5ms };
+const DeadlyAnswer kSomeEventsOn{ .name_ = "SomeEventsOn",
+                                  .crashDelay_ = 300ms,
+                                  .runTime_ = 1200ms };
+const DeadlyAnswer kBeforeLongAnswers{ .name_ = "BeforeLongAnswers",
+                                       .runTime_ = 1200ms };
+const DeadlyAnswer kInPlainBody{ .name_ = "InPlainBody",
+                                 .crashDelay_ = 100ms,
+                                 .arePlain_ = true };
+
+auto NameOfRun(
+  const testing::TestParamInfo<std::tuple<std::uint32_t, DeadlyAnswer>>& aInfo)
+  -> std::string
+{
+  return std::get<1>(aInfo.param).name_ +
+         std::to_string(std::get<0>(aInfo.param));
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers,
+                         DeadlyAnswerTest,
+                         testing::Combine(testing::Range(1U, 4U),
+                                          testing::Values(kAtFirstEvent,
+                                                          kSoonAfter,
+                                                          kSomeEventsOn,
+                                                          kBeforeLongAnswers,
+                                                          kInPlainBody)),
+                         NameOfRun);
+
+/// Seeds, of 1 to 100, on which the verdict on one of two parts came too late:
+/// hardly a crash was confirmed.
+class LateVerdictTest : public DeadlyAnswerTest
+{
+};
+
+TEST_P(LateVerdictTest, TwoDeadlyPartsAreBothStopped)
+{
+  RunTwoDeadlyParts();
+  ExpectContained();
+}
+
+INSTANTIATE_TEST_SUITE_P(AtFirstEvent,
+                         LateVerdictTest,
+                         testing::Combine(testing::Values(9U, 71U),
+                                          testing::Values(kAtFirstEvent)),
+                         NameOfRun);
+INSTANTIATE_TEST_SUITE_P(
+  SoonAfter,
+  LateVerdictTest,
+  testing::Combine(testing::Values(62U, 63U, 71U, 74U, 78U),
+                   testing::Values(kSoonAfter)),
+  NameOfRun);
 INSTANTIATE_TEST_SUITE_P(
-  Answers,
-  DeadlyAnswerTest,
+  SomeEventsOn,
+  LateVerdictTest,
   testing::Combine(
-    testing::Range(1U, 4U),
     testing::Values(
-      DeadlyAnswer{ .name_ = "AtFirstEvent", .crashDelay_ = 0ms },
-      DeadlyAnswer{ .name_ = "SoonAfter", .crashDelay_ = 5ms },
-      DeadlyAnswer{
-        .name_ = "SomeEventsOn", .crashDelay_ = 300ms, .runTime_ = 1200ms },
-      DeadlyAnswer{ .name_ = "BeforeLongAnswers", .runTime_ = 1200ms },
-      DeadlyAnswer{
-        .name_ = "InPlainBody", .crashDelay_ = 100ms, .arePlain_ = true })),
-  [](const auto& aInfo) {
-    return std::get<1>(aInfo.param).name_ +
-           std::to_string(std::get<0>(aInfo.param));
-  });
+      3U, 8U, 9U, 19U, 21U, 22U, 32U, 40U, 71U, 74U, 80U, 82U, 83U, 87U, 91U),
+    testing::Values(kSomeEventsOn)),
+  NameOfRun);
+INSTANTIATE_TEST_SUITE_P(
+  BeforeLongAnswers,
+  LateVerdictTest,
+  testing::Combine(testing::Values(8U, 16U, 18U, 20U, 63U, 71U, 78U, 93U),
+                   testing::Values(kBeforeLongAnswers)),
+  NameOfRun);
+INSTANTIATE_TEST_SUITE_P(InPlainBody,
+                         LateVerdictTest,
+                         testing::Combine(testing::Values(21U, 99U),
+                                          testing::Values(kInPlainBody)),
+                         NameOfRun);
+
+/// Seeds on which a session that lost answers of every age was put in
+/// quarantine.
+class FalseVerdictTest : public DeadlyAnswerTest
+{
+};
+
+TEST_P(FalseVerdictTest, MassCrashesPutNoPartInQuarantine)
+{
+  RunMassCrashes();
+  ExpectNoQuarantine();
+}
+
+INSTANTIATE_TEST_SUITE_P(SomeEventsOn,
+                         FalseVerdictTest,
+                         testing::Combine(testing::Values(4U, 16U, 20U),
+                                          testing::Values(kSomeEventsOn)),
+                         NameOfRun);
 
 /// Engines that vanish: routers can't know whether they crashed.
 class VanishingEngineTest
