--- a/src/process/quarantine/crash_evidence.cpp
+++ b/src/process/quarantine/crash_evidence.cpp
@@ -17,6 +17,12 @@
 constexpr double kSurvivalFactor = 1.5;
 constexpr Duration kSurvivalMargin = 150ms;
 
+/// Answers are lost at about the same age if the oldest one is at most this
+/// many times as old, and the margin. Smaller than the margins of survival, as
+/// the same age is evidence only where other answers are lost at many ages.
+constexpr double kSameAgeFactor = 1.2;
+constexpr Duration kSameAgeMargin = 20ms;
+
 auto MayShareCause(Instant aLeft, Instant aRight) -> bool
 {
   return std::max(aLeft, aRight) - std::min(aLeft, aRight) <=
@@ -210,18 +216,22 @@
             [](const Suspicion& aLeft, const Suspicion& aRight) {
               return aLeft.crash_->at_ < aRight.crash_->at_;
             });
+  Duration oldest = 0us;
+  for (const auto& suspicion : suspicions) {
+    oldest = std::max(oldest, suspicion.answerAge_);
+  }
   Score score;
   for (const auto& suspicion : suspicions) {
     const auto& crash = *suspicion.crash_;
-    const bool isEarly = suspicion.answerAge_ <= kEarlyAge;
     score.evidence_.insert(&crash);
     score.all_.Add(crash.at_);
-    if (crash.isConfirmed_) {
-      score.confirmed_.Add(crash.at_);
+    if (suspicion.answerAge_ <= kEarlyAge) {
+      score.early_.Add(crash);
     }
-    score.early_ += isEarly ? 1 : 0;
-    if (isEarly && crash.isConfirmed_) {
-      score.earlyConfirmed_.Add(crash.at_);
+    const auto sameAge =
+      ScaleDuration(suspicion.answerAge_, kSameAgeFactor) + kSameAgeMargin;
+    if (oldest <= sameAge) {
+      score.sameAge_.Add(crash);
     }
   }
   return score;
@@ -236,17 +246,43 @@
   }
 }
 
+auto CrashEvidence::CrashTally::Add(const Crash& aCrash) -> void
+{
+  ++targets_;
+  if (!first_ || aCrash.at_ - *first_ > kSimultaneous) {
+    first_ = aCrash.at_;
+    hasConfirmed_ = false;
+    isSpread_ = false;
+    ++count_;
+    ++weight_;
+  }
+  if (aCrash.isConfirmed_ && !hasConfirmed_) {
+    hasConfirmed_ = true;
+    ++weight_;
+  }
+  if (aCrash.at_ - *first_ > kCommonCauseSpan && !isSpread_) {
+    isSpread_ = true;
+    ++weight_;
+  }
+}
+
+auto CrashEvidence::CrashTally::IsEnough() const -> bool
+{
+  constexpr int kConfirmedWeight = 2;
+  return count_ >= kConfirmedCrashes &&
+         weight_ >= kConfirmedCrashes * kConfirmedWeight;
+}
+
 auto CrashEvidence::Score::Weight() const -> int
 {
-  return all_.targets_ + early_;
+  return all_.targets_ + std::max(early_.targets_, sameAge_.targets_);
 }
 
 auto CrashEvidence::IsCause(const Score& aScore) -> bool
 {
-  const bool hasManyTargets =
-    aScore.confirmed_.count_ >= kConfirmedCrashes &&
-    aScore.confirmed_.targets_ >= kConfirmedLateTargets;
-  return hasManyTargets || aScore.earlyConfirmed_.count_ >= kConfirmedCrashes ||
+  const bool isSameAge =
+    aScore.sameAge_.targets_ >= kLateTargets && aScore.sameAge_.IsEnough();
+  return isSameAge || aScore.early_.IsEnough() ||
          aScore.all_.count_ >= kUnconfirmedCrashes;
 }
 
@@ -261,7 +297,58 @@
   });
 }
 
-auto CrashEvidence::FindStrongest(const std::set<const Crash*>& aOpen,
+auto CrashEvidence::AgeDeviation(const Suspicion& aSuspicion,
+                                 const Suspect& aSuspect) -> Duration
+{
+  auto oldest = aSuspicion.answerAge_;
+  for (const auto& other : aSuspect.suspicions_) {
+    if (!other.isCleared_) {
+      oldest = std::max(oldest, other.answerAge_);
+    }
+  }
+  return oldest - aSuspicion.answerAge_;
+}
+
+auto CrashEvidence::Explain(const PartIds& aCause,
+                            ExplainedCrashes* aExplained) const -> void
+{
+  std::map<const Crash*, std::pair<std::size_t, Duration>> crashes;
+  for (const auto part : aCause) {
+    const auto suspect = suspects_.find(part);
+    if (suspect == suspects_.end()) {
+      return;
+    }
+    for (const auto& suspicion : suspect->second.suspicions_) {
+      if (suspicion.isCleared_) {
+        continue;
+      }
+      const auto deviation = AgeDeviation(suspicion, suspect->second);
+      auto& [parts, smallest] =
+        crashes.try_emplace(suspicion.crash_, 0, deviation).first->second;
+      ++parts;
+      smallest = std::min(smallest, deviation);
+    }
+  }
+  for (const auto& [crash, entry] : crashes) {
+    const auto& [parts, deviation] = entry;
+    if (parts < aCause.size()) {
+      continue;
+    }
+    auto& smallest = aExplained->try_emplace(crash, deviation).first->second;
+    smallest = std::min(smallest, deviation);
+  }
+}
+
+auto CrashEvidence::IsOpen(const Suspicion& aSuspicion,
+                           const Suspect& aSuspect,
+                           const ExplainedCrashes& aExplained) -> bool
+{
+  const auto found = aExplained.find(aSuspicion.crash_);
+  return found == aExplained.end() ||
+         found->second > AgeDeviation(aSuspicion, aSuspect) + kSameAgeMargin;
+}
+
+auto CrashEvidence::FindStrongest(const ExplainedCrashes& aExplained,
                                   const std::set<std::uint64_t>& aAmbiguous,
                                   Instant aNow) const
   -> std::pair<PartIds, Score>
@@ -275,14 +362,22 @@
       continue;
     }
     const bool isAmbiguous = aAmbiguous.contains(entry.first);
+    const auto isOpen = [&](const Suspicion& aSuspicion) {
+      return IsOpen(aSuspicion, suspect, aExplained);
+    };
     const auto score = ScoreOf(suspect, [&](const Suspicion& aSuspicion) {
-      return IsSettled(aSuspicion, aNow) &&
-             (isAmbiguous || aOpen.contains(aSuspicion.crash_));
+      return IsSettled(aSuspicion, aNow) && (isAmbiguous || isOpen(aSuspicion));
     });
+    if (!IsCause(score)) {
+      continue;
+    }
     const bool hasOpen =
-      std::any_of(score.evidence_.begin(), score.evidence_.end(),
-                  [&](const Crash* aCrash) { return aOpen.contains(aCrash); });
-    if (!IsCause(score) || !hasOpen) {
+      std::any_of(suspect.suspicions_.begin(), suspect.suspicions_.end(),
+                  [&](const Suspicion& aSuspicion) {
+                    return score.evidence_.contains(aSuspicion.crash_) &&
+                           isOpen(aSuspicion);
+                  });
+    if (!hasOpen) {
       continue;
     }
     if (score.Weight() > best.Weight()) {
@@ -299,37 +394,23 @@
                                Instant aNow) const -> std::vector<CrashCause>
 {
   std::set<std::uint64_t> ambiguous;
+  ExplainedCrashes explained;
   for (const auto& cause : aKnown) {
     if (cause.size() > 1) {
       ambiguous.insert(cause.begin(), cause.end());
     }
-  }
-  const auto isExplained = [&](const Crash& aCrash) {
-    return std::any_of(
-      aKnown.begin(), aKnown.end(), [&](const PartIds& aCause) {
-        return std::includes(aCrash.suspects_.begin(), aCrash.suspects_.end(),
-                             aCause.begin(), aCause.end());
-      });
-  };
-  std::set<const Crash*> open;
-  for (const auto& crash : crashes_) {
-    if (aNow - crash.at_ >= kSettleTime && !isExplained(crash)) {
-      open.insert(&crash);
-    }
+    Explain(cause, &explained);
   }
   std::vector<CrashCause> causes;
-  while (!open.empty()) {
-    auto [parts, score] = FindStrongest(open, ambiguous, aNow);
+  for (;;) {
+    auto [parts, score] = FindStrongest(explained, ambiguous, aNow);
     if (parts.empty()) {
-      break;
+      return causes;
     }
+    Explain(parts, &explained);
     causes.push_back(
       { std::move(parts), static_cast<int>(score.evidence_.size()) });
-    std::erase_if(open, [&evidence = score.evidence_](const Crash* aCrash) {
-      return evidence.contains(aCrash);
-    });
   }
-  return causes;
 }
 
 auto CrashEvidence::DropOldest() -> void
