Serve bodies in chunks of one byte, which are within the limits

A body of 60,000 bytes in such chunks got 400, as framing was limited to four times the body and each byte has five bytes of framing. A request within the documented limits must be served. The ratio is eight now; framing is not kept in memory.

--- a/src/connection/caller_connection.cpp
+++ b/src/connection/caller_connection.cpp
@@ -30,12 +30,13 @@
 constexpr Duration kUserTimeout = 5s;
 /// Limits that 16,384 bytes of header do not imply: short fields take ten times
 /// their bytes in memory, and framing is not limited by the body's length. A
-/// body in chunks of one byte has five bytes of framing for each.
+/// body in chunks of one byte, which is within the limits, has five bytes of
+/// framing for each.
 constexpr FramingLimits kFramingLimits{ .fields_ = 256,
                                         .chunkHeaderBytes_ = 1024,
                                         .trailerBytes_ = 8192,
                                         .framingSlack_ = 16'384,
-                                        .framingRatio_ = 4 };
+                                        .framingRatio_ = 8 };
 /// Part of the body limit that must come within the idle timeout. All of a body
 /// within one timeout makes progress, however small it is.
 constexpr std::size_t kProgressPart = 16;
--- a/tests/main/bounded_memory_test.cpp
+++ b/tests/main/bounded_memory_test.cpp
@@ -436,5 +436,22 @@
   }
 }
 
+// Guards against a limit on framing that keeps out small chunks, which no
+// documented limit forbids.
+TEST_F(LargestRequestTest, BodyInChunksOfOneByteIsServed)
+{
+  constexpr int kChunks = 60'000;
+  std::string chunks;
+  for (int i = 0; i < kChunks; ++i) {
+    chunks += "1\r\nx\r\n";
+  }
+  EXPECT_EQ(
+    Status(SendRaw(kCallerPort, "POST /once/x HTTP/1.1\r\nHost: h\r\n"
+                                "X-Attempt-Id: a2\r\nConnection: close\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n" +
+                                  chunks + "0\r\n\r\n")),
+    "200");
+}
+
 } // namespace
 } // namespace burdockring
