--- a/tests/process/quarantine/deadly_prompt_part_test.cpp
+++ b/tests/process/quarantine/deadly_prompt_part_test.cpp
@@ -347,6 +347,16 @@
     traffic_.Run(22s);
   }
 
+  auto RunDeadlyPartBesideMassCrashes() -> void
+  {
+    traffic_.SetDeadlyShare(0.03);
+    traffic_.Run(500ms);
+    for (int target = 0; target < kTargets; target += 3) {
+      zone_.CrashEngine(TargetNumber(target));
+    }
+    traffic_.Run(20s);
+  }
+
   auto RunMassCrashes() -> void
   {
     for (int round = 0; round < 6; ++round) {
@@ -382,12 +392,7 @@
 
 TEST_P(DeadlyAnswerTest, DeadlyPartIsFoundBesideMassCrashes)
 {
-  traffic_.SetDeadlyShare(0.03);
-  traffic_.Run(500ms);
-  for (int target = 0; target < kTargets; target += 3) {
-    zone_.CrashEngine(TargetNumber(target));
-  }
-  traffic_.Run(20s);
+  RunDeadlyPartBesideMassCrashes();
   ExpectContained();
 }
 
@@ -514,7 +519,47 @@
 
 INSTANTIATE_TEST_SUITE_P(SomeEventsOn,
                          FalseVerdictTest,
-                         testing::Combine(testing::Values(4U, 16U, 20U),
+                         testing::Combine(testing::Values(4U,
+                                                          16U,
+                                                          20U,
+                                                          22U,
+                                                          36U,
+                                                          38U,
+                                                          41U,
+                                                          48U,
+                                                          54U,
+                                                          57U,
+                                                          59U,
+                                                          65U,
+                                                          67U,
+                                                          80U,
+                                                          83U,
+                                                          87U),
+                                          testing::Values(kSomeEventsOn)),
+                         NameOfRun);
+
+/// Seeds on which the verdict came too late beside crashes of other causes.
+class LateBesideMassCrashesTest : public DeadlyAnswerTest
+{
+};
+
+TEST_P(LateBesideMassCrashesTest, DeadlyPartIsFound)
+{
+  RunDeadlyPartBesideMassCrashes();
+  ExpectContained();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  BeforeLongAnswers,
+  LateBesideMassCrashesTest,
+  testing::Combine(
+    testing::Values(33U, 39U, 47U, 49U, 55U, 60U, 72U, 78U, 82U, 87U),
+    testing::Values(kBeforeLongAnswers)),
+  NameOfRun);
+
+INSTANTIATE_TEST_SUITE_P(SomeEventsOn,
+                         LateBesideMassCrashesTest,
+                         testing::Combine(testing::Values(9U, 93U, 100U),
                                           testing::Values(kSomeEventsOn)),
                          NameOfRun);
 
@@ -539,6 +584,26 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, VanishingEngineTest, testing::Range(1U, 6U));
+// Seeds on which the verdict came too late.
+INSTANTIATE_TEST_SUITE_P(LateVerdicts,
+                         VanishingEngineTest,
+                         testing::Values(19U,
+                                         30U,
+                                         35U,
+                                         38U,
+                                         43U,
+                                         46U,
+                                         47U,
+                                         51U,
+                                         52U,
+                                         57U,
+                                         64U,
+                                         75U,
+                                         79U,
+                                         82U,
+                                         87U,
+                                         92U,
+                                         93U));
 
 } // namespace
 } // namespace burdockring
