--- a/tests/platform/configuration_trust_test.cpp
+++ b/tests/platform/configuration_trust_test.cpp
@@ -75,13 +75,17 @@
     node_.OnConfigurationConfirmed(aAsOf);
     RecordConfirmation();
   }
+  auto OnZoneDrains(const std::vector<ZoneDrainRecord>& /*aRecords*/,
+                    bool /*aIsSnapshot*/,
+                    std::int64_t /*aOffset*/) -> void override
+  {
+  }
   auto OnTarget(const std::string& /*aKey*/, RegisteredTarget /*aTarget*/)
     -> void override
   {
   }
   auto OnTargetRemoved(const std::string& /*aKey*/) -> void override {}
-  auto OnTargets(
-    const std::vector<std::pair<std::string, RegisteredTarget>>& /*aAll*/)
+  auto OnTargets(std::vector<std::pair<std::string, RegisteredTarget>> /*aAll*/)
     -> void override
   {
   }
