--- a/src/connection/exchange.cpp
+++ b/src/connection/exchange.cpp
@@ -433,6 +433,7 @@
   }
   resumedAfter_.reset();
   NoteFirstByte();
+  port_->Node().OnEventsForwarded(id_, attempt_, BootNow());
   if (const auto last = events_.LastEvent()) {
     port_->Node().OnEventForwarded(id_, *last);
   }
