--- a/tests/process/quarantine/deadly_prompt_part_test.cpp
+++ b/tests/process/quarantine/deadly_prompt_part_test.cpp
@@ -603,7 +603,10 @@
                                          82U,
                                          87U,
                                          92U,
-                                         93U));
+                                         93U),
+                         [](const auto& aInfo) {
+                           return std::to_string(aInfo.param);
+                         });
 
 } // namespace
 } // namespace burdockring
