--- a/tests/support/router_zone.h
+++ b/tests/support/router_zone.h
@@ -181,7 +181,7 @@
       target.port_ = static_cast<std::uint16_t>(kFirstTargetPort + i);
       router.node_->Directory().Put(name, target);
     }
-    router.node_->OnConfiguration(MakeTable(5, options_.engines_, 0, 0.007,
+    router.node_->OnConfiguration(MakeTable(5, options_.engines_, 0, 0.007, 0us,
                                             options_.coldStart_,
                                             options_.coldPerSecond_),
                                   "text", now_);
