--- a/src/process/placement/zone_drains.h
+++ b/src/process/placement/zone_drains.h
@@ -23,7 +23,7 @@
   std::int64_t offset_ = 0;
   bool isSettled_ = true;
 
-  friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+  auto operator<=>(const StorePosition&) const = default;
 };
 
 /// A record that begins or ends the drain of a zone.
