--- a/tests/process/placement/cold_targets_test.cpp
+++ b/tests/process/placement/cold_targets_test.cpp
@@ -21,7 +21,8 @@
   EXPECT_EQ(targets.Count(3s), 0U);
 }
 
-// A router that restarts while targets are cold sends them what it likes.
+// Guards against a router that restarts while targets are cold and sends them
+// its whole load.
 TEST(ColdTargetsTest, RouterThatHasJustStartedTakesAllTargetsForCold)
 {
   ColdTargets targets;
