Model of placement with outdated load data, and turns between equal engines

Routers that choose the engine of least cost with the same outdated load all choose the same engine. The model in src/measure places requests at 60 engines in virtual time, with load data 0 to 500 ms old, 2, 12 and 60 routers and engines of equal and unequal speed, and compares nine ways to choose.

--- a/src/main/command_measure.cpp
+++ b/src/main/command_measure.cpp
@@ -1,11 +1,13 @@
 #include "main/command_table.h"
 #include "main/flags.h"
+#include "measure/balance_model.h"
 #include "measure/scenario_runner.h"
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
 
+#include <array>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
@@ -14,6 +16,15 @@
 
 using nlohmann::ordered_json;
 
+/// Scenario that compares ways to choose an engine with outdated load data. It
+/// is run only by this name.
+constexpr std::string_view kBalanceScenario = "balance";
+
+constexpr std::array<std::string_view, kBalanceMethodCount> kBalanceMethods{
+  "perfect",  "least-cost",   "two-random", "weighted-draw", "prediction",
+  "discount", "announcement", "partition",  "turns",
+};
+
 auto ToJson(const ScenarioFigures& aFigures) -> ordered_json
 {
   const auto& counts = aFigures.counts_;
@@ -108,6 +119,44 @@
             << std::flush;
 }
 
+auto BalanceCases(std::uint64_t aSeed) -> std::vector<BalanceCase>
+{
+  std::vector<BalanceCase> cases;
+  for (const bool shared : { false, true }) {
+    for (const bool unequal : { false, true }) {
+      for (const int routers : { 2, 12, 60 }) {
+        for (const Duration age : { 0ms, 20ms, 100ms, 500ms }) {
+          cases.push_back({ age, routers, unequal, shared, aSeed });
+        }
+      }
+    }
+  }
+  return cases;
+}
+
+auto PrintBalanceTable(std::uint64_t aSeed) -> void
+{
+  std::cout << absl::StrFormat("%-7s %-7s %7s %6s %-13s %6s %6s %8s %8s %7s\n",
+                               "engines", "prompts", "routers", "age ms",
+                               "method", "peak", "idle", "p50 ms", "p99 ms",
+                               "cached");
+  for (const auto& balanceCase : BalanceCases(aSeed)) {
+    for (std::size_t i = 0; i < kBalanceMethods.size(); ++i) {
+      const auto figures =
+        RunBalanceCase(balanceCase, static_cast<BalanceMethod>(i));
+      std::cout << absl::StrFormat(
+                     "%-7s %-7s %7d %6d %-13s %6.2f %6.3f %8.1f %8.1f %7.3f\n",
+                     balanceCase.unequalEngines_ ? "unequal" : "equal",
+                     balanceCase.sharedParts_ ? "shared" : "single",
+                     balanceCase.routers_, balanceCase.age_ / 1ms,
+                     std::string(kBalanceMethods.at(i)), figures.peakOverMean_,
+                     figures.idleShare_, figures.waitP50Ms_, figures.waitP99Ms_,
+                     figures.cachedShare_)
+                << std::flush;
+    }
+  }
+}
+
 } // namespace
 
 auto RunMeasure(const CommandArguments& aArguments) -> ExitCode
@@ -125,6 +174,10 @@
     }
     return ExitCode::kOk;
   }
+  if (FLAGS_scenario == kBalanceScenario) {
+    PrintBalanceTable(static_cast<std::uint64_t>(FLAGS_seed));
+    return ExitCode::kOk;
+  }
   const auto scenarios = ChooseScenarios();
   if (scenarios.empty()) {
     return ExitCode::kUsage;
