Spread placements over equal engines where targets report their load

Leads with the same outdated reports chose the same engine. LoadSpread learns from peers' reports at which rate each places work, and so what is unseen since; TargetSelector adds the turn penalty of even_load.h to each engine's cost, limited so that it outweighs neither a rank of a preferred engine nor cached parts. Backlog limits, admission and the expected wait do not use it. ReportedLoadState corrects what routers report of a target by what it reports of itself, and holds its slowness for 250 ms.

Both take effect only once a target has reported its load. Full reports of a peer now replace its rows one by one, so that a target sees only changes; the sums are the same.

Requests with a shared part stay on the same engines.

--- a/src/process/placement/dispatcher.cpp
+++ b/src/process/placement/dispatcher.cpp
@@ -120,7 +120,12 @@
   }
   const auto& targets = TargetsOf(aItem.service_);
   const auto standing = StandingOf(aItem, *service, aNow);
-  const auto limits = LimitsFor(aItem, *service, standing, aNow);
+  auto limits = LimitsFor(aItem, *service, standing, aNow);
+  const auto spread = spread_.ContextFor(
+    aItem.service_, targets.size(), limits.prefill_,
+    ScaleDuration(limits.minLatencyObjective_, policy_.Engines().rankPenalty_),
+    aNow);
+  limits.spread_ = spread ? &*spread : nullptr;
   const auto candidate =
     targetSelector_.Select(aItem, *service, targets, limits, aNow);
   if (!candidate) {
@@ -169,6 +174,9 @@
       ? 0
       : load.Total().prefillTokens_ + aCandidate.addedLoad_.prefillTokens_;
   load.Add(run.addedLoad_);
+  load.OnSent(aNow);
+  spread_.OnPlaced(aItem.service_, run.addedLoad_.prefillTokens_);
+  reportedLoads_.spreadStarts_ += aCandidate.isSpread_ ? 1 : 0;
   if (aService.isEngine_) {
     for (const auto& part : aItem.parts_) {
       load.OnPartSent(part.id_, aNow);
@@ -455,6 +463,45 @@
   loadChanged_ = true;
 }
 
+auto Dispatcher::SetSelf(RouterId aSelf) -> void
+{
+  spread_.SetSelf(aSelf);
+}
+
+auto Dispatcher::OnReportedLoad(TargetId aTarget,
+                                const ReportedLoad& aLoad,
+                                Instant aNow) -> bool
+{
+  const auto* target = directory_->Find(aTarget);
+  if (target == nullptr) {
+    return false;
+  }
+  ++reportedLoads_.reports_;
+  const bool isFirst = spread_.OnTargetReport(target->service_, aNow);
+  const bool isCorrection = loads_.At(aTarget).OnReport(
+    aLoad, spread_.MeanTokens(target->service_), aNow);
+  reportedLoads_.corrections_ += isCorrection ? 1 : 0;
+  return isFirst;
+}
+
+auto Dispatcher::ObservePlacements(RouterId aPeer,
+                                   const wire::LoadReport& aReport,
+                                   Instant aNow) -> void
+{
+  if (!spread_.IsActive()) {
+    return;
+  }
+  std::map<ServiceId, double> added;
+  for (const auto& row : aReport.targets) {
+    const auto* target = directory_->Find(TargetId{ row.target });
+    const auto before = loads_.PeerUse(aPeer, TargetId{ row.target });
+    if (target != nullptr && row.prefillTokens > before.prefillTokens) {
+      added[target->service_] += row.prefillTokens - before.prefillTokens;
+    }
+  }
+  spread_.OnPeerReport(aPeer, added, aNow);
+}
+
 auto Dispatcher::PauseTarget(TargetId aTarget, Instant aUntil) -> void
 {
   if (directory_->Find(aTarget) != nullptr) {
@@ -516,6 +563,7 @@
                               Instant aNow) -> void
 {
   capacityMayHaveFreed_ = true;
+  ObservePlacements(aPeer, aReport, aNow);
   loads_.SetPeerUsage(aPeer, aReport.targets, aReport.partial, aNow);
   shares_.SetPeerUsage(aPeer, aReport.accounts, aReport.partial, aNow);
   for (const auto& read : aReport.reads) {
@@ -576,6 +624,11 @@
   return loads_;
 }
 
+auto Dispatcher::ReportedLoads() const -> const ReportedLoadCounters&
+{
+  return reportedLoads_;
+}
+
 auto Dispatcher::EngineEstimates() const -> std::vector<EngineEstimate>
 {
   std::vector<EngineEstimate> estimates;
--- a/src/process/placement/dispatcher.h
+++ b/src/process/placement/dispatcher.h
@@ -2,6 +2,7 @@
 #define BURDOCKRING_PROCESS_PLACEMENT_DISPATCHER_H
 
 #include "process/admission/account_shares.h"
+#include "process/placement/load_spread.h"
 #include "process/placement/report_delta.h"
 #include "process/placement/target_directory.h"
 #include "process/placement/target_load.h"
@@ -85,6 +86,16 @@
   Duration firstEventTime_{};
 };
 
+/// Counts of what targets reported of their load.
+struct ReportedLoadCounters
+{
+  std::int64_t reports_ = 0;
+  /// Reports that differed from what the routers knew.
+  std::int64_t corrections_ = 0;
+  /// Requests that started at another engine than that of least known cost.
+  std::int64_t spreadStarts_ = 0;
+};
+
 /// Decides which request starts, waits or is rejected, and on which target it
 /// runs. Performs no I/O: takes requests and run events, returns decisions.
 ///
@@ -163,6 +174,8 @@
   /// Prefill speed of each service's engines.
   std::map<ServiceId, PrefillEstimator> prefillEstimators_;
   TargetLoadTable loads_;
+  LoadSpread spread_;
+  ReportedLoadCounters reportedLoads_;
   AccountShares shares_;
   RouteTablePointer table_;
   std::vector<WaitingRequest> waiting_;
@@ -210,6 +223,10 @@
   /// Updates the prefill speed of the engine from the time of a first event.
   auto LearnPrefillSpeed(const Run& aRun, Instant aNow) -> void;
   auto OnSaturated(Instant aNow) -> void;
+  /// Passes to spread_ what a peer has placed since its last report.
+  auto ObservePlacements(RouterId aPeer,
+                         const wire::LoadReport& aReport,
+                         Instant aNow) -> void;
   /// The latency objective from which the service's limits are derived.
   [[nodiscard]] static auto MinLatencyObjective(const RoutedService& aService)
     -> Duration;
@@ -261,6 +278,13 @@
                 TargetId aTarget,
                 const LoadAmounts& aAdds,
                 bool aHasFirstEvent) -> void;
+  /// The id of this router, by which it differs from others that place
+  /// requests.
+  auto SetSelf(RouterId aSelf) -> void;
+  /// A target reported its load. Returns whether it is the first of its service
+  /// to do so.
+  auto OnReportedLoad(TargetId aTarget, const ReportedLoad& aLoad, Instant aNow)
+    -> bool;
   /// Sends no requests to the target until aUntil.
   auto PauseTarget(TargetId aTarget, Instant aUntil) -> void;
   /// Retries waiting requests and rejects those whose wait has expired.
@@ -280,6 +304,7 @@
   [[nodiscard]] auto WaitingCount() const -> std::size_t;
   [[nodiscard]] auto RunningCount() const -> std::size_t;
   [[nodiscard]] auto Loads() const -> const TargetLoadTable&;
+  [[nodiscard]] auto ReportedLoads() const -> const ReportedLoadCounters&;
   [[nodiscard]] auto EngineEstimates() const -> std::vector<EngineEstimate>;
   [[nodiscard]] auto ShareLevels() const -> const AccountShares::Levels&;
   /// Requests started or rejected since the process started.
--- a/src/process/placement/target_load.cpp
+++ b/src/process/placement/target_load.cpp
@@ -1,6 +1,7 @@
 #include "process/placement/target_load.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace burdockring {
 namespace {
@@ -63,6 +64,7 @@
 {
   peers_ -= aOld;
   peers_ += aNew;
+  reported_.OnOthersChanged(aNew.running_ - aOld.running_);
 }
 
 auto TargetLoad::OnPartSent(std::uint64_t aPart, Instant aNow) -> void
@@ -161,6 +163,24 @@
   return pausedUntil_;
 }
 
+auto TargetLoad::OnSent(Instant aNow) -> void
+{
+  reported_.OnSent(aNow);
+}
+
+auto TargetLoad::OnReport(const ReportedLoad& aLoad,
+                          double aMeanTokens,
+                          Instant aNow) -> bool
+{
+  tokensPerUnknown_ = aMeanTokens;
+  return reported_.OnReport(aLoad, local_.running_, peers_.running_, aNow);
+}
+
+auto TargetLoad::ReportAge(Instant aNow) const -> Duration
+{
+  return reported_.Age(aNow);
+}
+
 auto TargetLoad::Local() const -> const LoadAmounts&
 {
   return local_;
@@ -180,6 +200,39 @@
   return prefill.PrefillDuration((ahead + aTokens) * slowdown_);
 }
 
+auto TargetLoad::Corrected(Instant aNow) const -> LoadAmounts
+{
+  const int excess = reported_.Excess(aNow);
+  auto total = Total();
+  if (excess > 0) {
+    total.running_ += excess;
+    total.prefillTokens_ +=
+      static_cast<int>(reported_.WaitingExcess(aNow) * tokensPerUnknown_);
+  } else if (excess < 0 && peers_.running_ > 0) {
+    // Requests that have ended although no router said so yet.
+    const double ended = std::min(1.0, -1.0 * excess / peers_.running_);
+    total -= { static_cast<int>(peers_.running_ * ended),
+               static_cast<int>(peers_.prefillTokens_ * ended),
+               static_cast<int>(peers_.memoryTokens_ * ended) };
+  }
+  return total;
+}
+
+auto TargetLoad::PrefillTime(int aTokens, Instant aNow) const -> Duration
+{
+  const auto& prefill = prefill_ == nullptr ? kDefaultEstimator : *prefill_;
+  const auto ahead = Corrected(aNow).prefillTokens_;
+  return prefill.PrefillDuration((ahead + aTokens) * slowdown_ *
+                                 reported_.Slowness(aNow));
+}
+
+auto TargetLoad::OwnPrefillTime(Instant aNow) const -> Duration
+{
+  const auto& prefill = prefill_ == nullptr ? kDefaultEstimator : *prefill_;
+  return prefill.PrefillDuration(local_.prefillTokens_ * slowdown_ *
+                                 reported_.Slowness(aNow));
+}
+
 auto TargetLoad::Slowdown() const -> double
 {
   return slowdown_;
@@ -204,6 +257,17 @@
   return found == loads_.end() ? nullptr : &found->second;
 }
 
+auto TargetLoadTable::PeerUse(RouterId aPeer, TargetId aTarget) const
+  -> wire::TargetUse
+{
+  const auto peer = peers_.find(aPeer);
+  if (peer == peers_.end()) {
+    return {};
+  }
+  const auto use = peer->second.targets_.find(aTarget.value_);
+  return use == peer->second.targets_.end() ? wire::TargetUse() : use->second;
+}
+
 auto TargetLoadTable::RemoveUnless(
   const std::function<bool(TargetId)>& aIsListed) -> void
 {
@@ -220,8 +284,16 @@
   auto& peer = peers_[aPeer];
   peer.at_ = aNow;
   if (!aPartial) {
-    RemovePeerLoad(peer);
-    peer.targets_.clear();
+    // Rows that remain are replaced below, so that their targets see only what
+    // changes.
+    PeerUsage gone;
+    std::swap(gone.targets_, peer.targets_);
+    for (const auto& usage : aTargets) {
+      if (auto kept = gone.targets_.extract(usage.target)) {
+        peer.targets_.insert(std::move(kept));
+      }
+    }
+    RemovePeerLoad(gone);
   }
   for (const auto& usage : aTargets) {
     auto& previous = peer.targets_[usage.target];
--- a/src/process/placement/target_load.h
+++ b/src/process/placement/target_load.h
@@ -5,6 +5,7 @@
 #include "base/time.h"
 #include "peer_types.h"
 #include "process/placement/prefill_estimator.h"
+#include "process/placement/reported_load.h"
 
 #include <cstdint>
 #include <functional>
@@ -71,6 +72,10 @@
   int failures_ = 0;
   Instant avoidedUntil_{};
   Instant pausedUntil_{};
+  /// What the target reported of itself.
+  ReportedLoadState reported_;
+  /// Prompt tokens of a request that waits at the target unknown to routers.
+  double tokensPerUnknown_ = 0;
 
   auto DropExpiredParts(Instant aNow) -> void;
 
@@ -111,11 +116,26 @@
   auto PauseUntil(Instant aUntil) -> void;
   [[nodiscard]] auto PausedUntil() const -> Instant;
 
+  /// This router has sent a request to the target.
+  auto OnSent(Instant aNow) -> void;
+  /// The target reported its load; aMeanTokens are the prompt tokens of an
+  /// average request. Returns whether that differs from what routers know.
+  auto OnReport(const ReportedLoad& aLoad, double aMeanTokens, Instant aNow)
+    -> bool;
+  /// Age of the target's own report; the maximum if there is none.
+  [[nodiscard]] auto ReportAge(Instant aNow) const -> Duration;
+
   [[nodiscard]] auto Local() const -> const LoadAmounts&;
   [[nodiscard]] auto Total() const -> LoadAmounts;
+  /// Total(), corrected by what the target reported of itself.
+  [[nodiscard]] auto Corrected(Instant aNow) const -> LoadAmounts;
   /// Time to prefill aTokens after the prompt tokens that are already pending
   /// at the target.
   [[nodiscard]] auto PrefillTime(int aTokens) const -> Duration;
+  /// The same by Corrected() and the target's present slowness.
+  [[nodiscard]] auto PrefillTime(int aTokens, Instant aNow) const -> Duration;
+  /// The part of PrefillTime(0, aNow) that is this router's own work.
+  [[nodiscard]] auto OwnPrefillTime(Instant aNow) const -> Duration;
   /// Prefill time of this target relative to the service's estimate.
   [[nodiscard]] auto Slowdown() const -> double;
 };
@@ -142,6 +162,9 @@
 public:
   auto At(TargetId aTarget) -> TargetLoad&;
   [[nodiscard]] auto Find(TargetId aTarget) const -> const TargetLoad*;
+  /// What a peer last reported of a target.
+  [[nodiscard]] auto PeerUse(RouterId aPeer, TargetId aTarget) const
+    -> wire::TargetUse;
   /// Removes idle targets for which aIsListed returns false.
   auto RemoveUnless(const std::function<bool(TargetId)>& aIsListed) -> void;
   /// If aPartial, the rows update the previous report; otherwise they replace
--- a/src/process/placement/target_selector.cpp
+++ b/src/process/placement/target_selector.cpp
@@ -174,14 +174,15 @@
   const int copied = copies ? std::max(0, source->cachedTokens_ - cached) : 0;
   const int uncached = shared - cached - copied;
   const int prefill = std::max(1, aItem.promptTokens_ - cached - copied);
-  const auto total = load.Total();
+  const auto total = load.Corrected(aNow);
   const int slots = std::max(1, aTarget.listed_->slots_);
   Candidate candidate;
   candidate.target_ = aTarget.listed_->id_;
   candidate.addedLoad_ = { 1, prefill, prefill + aItem.outputTokens_ };
-  candidate.backlog_ = load.PrefillTime(0);
+  candidate.cachedTokens_ = cached;
+  candidate.backlog_ = load.PrefillTime(0, aNow);
   candidate.wait_ =
-    load.PrefillTime(prefill) + aLimits.prefill_.FirstEventOverhead();
+    load.PrefillTime(prefill, aNow) + aLimits.prefill_.FirstEventOverhead();
   if (copies) {
     candidate.copyFrom_ = source->target_;
   }
@@ -254,6 +255,7 @@
   const bool preferredOnly =
     isLongPrefix && std::any_of(preferred.begin(), preferred.end(), isEligible);
   std::optional<Candidate> best;
+  std::optional<Candidate> bestUnspread;
   for (const auto i : eligible) {
     const auto rank = static_cast<std::size_t>(
       std::find(preferred.begin(), preferred.end(), i) - preferred.begin());
@@ -265,10 +267,23 @@
     if (preferredOnly && rank >= preferred.size()) {
       candidate.isWithinLimits_ = false;
     }
+    if (aLimits.spread_ != nullptr) {
+      if (!bestUnspread || IsBetter(candidate, *bestUnspread)) {
+        bestUnspread = candidate;
+      }
+      candidate.cost_ +=
+        aLimits.spread_->CostChange(i, *aTargets[i].load_,
+                                    aLimits.prefill_.PrefillDuration(
+                                      candidate.cachedTokens_ * kRecomputeCost),
+                                    aNow);
+    }
     if (!best || IsBetter(candidate, *best)) {
       best = candidate;
     }
   }
+  if (best && bestUnspread) {
+    best->isSpread_ = best->target_ != bestUnspread->target_;
+  }
   return best;
 }
 
@@ -279,7 +294,7 @@
   std::optional<Candidate> best;
   for (const auto i : EligibleTargets(aItem, aTargets, aNow)) {
     const auto* target = aTargets[i].listed_;
-    const auto total = aTargets[i].load_->Total();
+    const auto total = aTargets[i].load_->Corrected(aNow);
     Candidate candidate;
     candidate.target_ = target->id_;
     candidate.addedLoad_ = { 1, 0, 0 };
--- a/src/process/placement/target_selector.h
+++ b/src/process/placement/target_selector.h
@@ -1,6 +1,7 @@
 #ifndef BURDOCKRING_PROCESS_PLACEMENT_TARGET_SELECTOR_H
 #define BURDOCKRING_PROCESS_PLACEMENT_TARGET_SELECTOR_H
 
+#include "process/placement/load_spread.h"
 #include "process/placement/policy.h"
 #include "process/placement/prefill_estimator.h"
 #include "process/placement/target_directory.h"
@@ -54,6 +55,8 @@
   Duration minLatencyObjective_{};
   /// Prefill speed of the service's targets.
   PrefillEstimator prefill_;
+  /// Set if the service's targets report their load.
+  const SpreadContext* spread_ = nullptr;
 };
 
 /// An evaluated target for a request.
@@ -67,6 +70,10 @@
   /// The wait plus penalties; the lowest cost wins.
   Duration cost_{};
   LoadAmounts addedLoad_;
+  /// Prompt tokens that the target is expected to have cached.
+  int cachedTokens_ = 0;
+  /// Whether another target has a lower cost without the spread.
+  bool isSpread_ = false;
   /// Engine that the target copies the cached prefix from instead of computing
   /// it.
   std::optional<TargetId> copyFrom_;
--- a/src/request/request_metadata.h
+++ b/src/request/request_metadata.h
@@ -36,6 +36,18 @@
   std::optional<std::uint64_t> lastEvent_;
 };
 
+/// Load that a target reports of itself, some milliseconds old.
+struct ReportedLoad
+{
+  int running_ = 0;
+  int waiting_ = 0;
+  int slots_ = 0;
+  /// How long work takes there at this moment, relative to normal, in percent.
+  std::optional<int> slownessPercent_ = {};
+
+  auto operator==(const ReportedLoad&) const -> bool = default;
+};
+
 /// State of a target that it reports along with a response.
 struct TargetNotice
 {
@@ -44,6 +56,7 @@
   /// How long the target asks this router to send no requests; zero if it
   /// accepts them.
   Duration pauseDuration_{};
+  std::optional<ReportedLoad> load_ = {};
 };
 
 /// Response metadata decoded from the target's header fields.
