Read the load that targets report, and pass it to the lead that placed the run

X-Instance-Load was not read. Its figures reach TargetNotice::load_; a load whose first three figures are missing or malformed is left out, the fourth may be missing. The router's own dispatcher takes it, and the lead with the note of the run's first event or end (RunNote.load).

Test of the failure: routers crash while an engine still runs their requests; the leads drop them after 2.5 s and count them again after two answers of the engine.

--- a/src/connection/exchange.cpp
+++ b/src/connection/exchange.cpp
@@ -341,7 +341,8 @@
     Fail("an answer without an id on a reused connection");
     return false;
   }
-  if (facts.notice_.isLeaving_ || facts.notice_.pauseDuration_ > 0us) {
+  if (facts.notice_.isLeaving_ || facts.notice_.pauseDuration_ > 0us ||
+      facts.notice_.load_) {
     port_->Node().OnTargetNotice(id_, attempt_, facts.notice_, BootNow());
   }
   if (facts.notRun_ || facts.isFromOtherTarget_) {
--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -370,6 +370,11 @@
   add("placements_asked_total", placements.sentToLeads_);
   add("placements_unanswered_total", placements.unanswered_);
   add("placements_alone_total", placements.placedLocally_);
+  add("placements_loads_sent_total", placements.loadsSent_);
+  const auto& loads = node_.WorkDispatcher().ReportedLoads();
+  add("load_reports_total", loads.reports_);
+  add("load_corrections_total", loads.corrections_);
+  add("placements_spread_total", loads.spreadStarts_);
   add("placements_for_others_total",
       node_.PlacementsForOthers().AcceptedCount());
   add("placements_held", static_cast<std::int64_t>(
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -586,6 +586,7 @@
   , placementStateLog_(&dispatcher_, aLog)
   , overloadController_(aOptions.policy_)
 {
+  dispatcher_.SetSelf(peers_.Peers().Self().id_);
   dispatcher_.SetWholeHandler([this](const PartIds& aParts, Instant aNow) {
     quarantine_.OnAnswer(aParts, { aNow, 0us, true });
   });
@@ -733,6 +734,9 @@
     dispatcher_.PauseTarget(target, aNow + aNotice.pauseDuration_);
     placements_.OnTargetPause(aRequest, aNotice.pauseDuration_);
   }
+  if (aNotice.load_) {
+    OnTargetLoad(*request, *aNotice.load_, aNow);
+  }
   if (startsLeaving || aNotice.pauseDuration_ > 0us) {
     log_->Write("target_notice",
                 { { "request", request->arrival_.facts_.attemptId_ },
@@ -741,6 +745,23 @@
   }
 }
 
+auto ForwardingNode::OnTargetLoad(const Request& aRequest,
+                                  const ReportedLoad& aLoad,
+                                  Instant aNow) -> void
+{
+  const auto* target = directory_.Find(aRequest.target_);
+  if (target != nullptr &&
+      dispatcher_.OnReportedLoad(aRequest.target_, aLoad, aNow)) {
+    // Once for each service: from now on its load is spread.
+    log_->Write("load_reported",
+                { { "target", target->instance_ },
+                  { "running", std::int64_t{ aLoad.running_ } },
+                  { "waiting", std::int64_t{ aLoad.waiting_ } },
+                  { "slots", std::int64_t{ aLoad.slots_ } } });
+  }
+  placements_.OnTargetLoad(aRequest.arrival_.id_, aLoad, aNow);
+}
+
 auto ForwardingNode::OnAttemptRefused(RequestId aRequest,
                                       int aAttempt,
                                       Instant aNow) -> void
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -234,6 +234,9 @@
                         bool aRetries,
                         Instant aNow) -> void;
   auto Apply(const RejectDecision& aDecision, Instant aNow) -> void;
+  auto OnTargetLoad(const Request& aRequest,
+                    const ReportedLoad& aLoad,
+                    Instant aNow) -> void;
   auto ExpireRequests(Instant aNow) -> void;
   auto LogTargetChanges() -> void;
   /// Whether a router's entry is of an older store epoch: it was written before
@@ -267,7 +270,8 @@
                           int aAttempt,
                           bool aSuccess,
                           Instant aNow) -> void;
-  /// The attempt's target announced that it is leaving or wants a pause.
+  /// The attempt's target announced that it is leaving, wants a pause, or how
+  /// loaded it is.
   auto OnTargetNotice(RequestId aRequest,
                       int aAttempt,
                       const TargetNotice& aNotice,
--- a/src/process/placement/placement_client.cpp
+++ b/src/process/placement/placement_client.cpp
@@ -123,6 +123,17 @@
   requestsByNumber_.erase(number);
 }
 
+auto PlacementClient::AttachLoad(Run* aRun, wire::RunNote* aNote, Instant aNow)
+  -> void
+{
+  const auto load = std::exchange(aRun->load_, std::nullopt);
+  if (load && aNow - aRun->loadAt_ <= kMaxLoadAge &&
+      loadFilter_.Take(aRun->lead_, aRun->target_, *load, aNow)) {
+    aNote->__set_load(EncodeLoad(*load));
+    ++counters_.loadsSent_;
+  }
+}
+
 auto PlacementClient::HandleAnswerTimeouts(Instant aNow) -> void
 {
   // After a delay of this router's own loop, process the messages that arrived
@@ -254,7 +265,9 @@
   auto& run = found->second;
   if (!std::exchange(run.hasFirstEvent_, true)) {
     run.addedLoad_.prefillTokens_ = 0;
-    outbox_[run.lead_].notes.push_back(MakeFirstEventNote(run.number_));
+    auto note = MakeFirstEventNote(run.number_);
+    AttachLoad(&run, &note, aNow);
+    outbox_[run.lead_].notes.push_back(note);
   }
 }
 
@@ -267,11 +280,24 @@
     dispatcher_->OnRunEnd(aRequest, aOutcome, aNow);
     return;
   }
-  const auto& run = found->second;
-  outbox_[run.lead_].notes.push_back(MakeOutcomeNote(run.number_, aOutcome));
+  auto& run = found->second;
+  auto note = MakeOutcomeNote(run.number_, aOutcome);
+  AttachLoad(&run, &note, aNow);
+  outbox_[run.lead_].notes.push_back(note);
   runs_.erase(found);
 }
 
+auto PlacementClient::OnTargetLoad(RequestId aRequest,
+                                   const ReportedLoad& aLoad,
+                                   Instant aNow) -> void
+{
+  const auto found = runs_.find(aRequest);
+  if (found != runs_.end()) {
+    found->second.load_ = aLoad;
+    found->second.loadAt_ = aNow;
+  }
+}
+
 auto PlacementClient::OnTargetPause(RequestId aRequest, Duration aPause) -> void
 {
   const auto found = runs_.find(aRequest);
--- a/src/process/placement/placement_client.h
+++ b/src/process/placement/placement_client.h
@@ -21,6 +21,8 @@
   std::int64_t unanswered_ = 0;
   /// Requests placed by this router because no lead was available.
   std::int64_t placedLocally_ = 0;
+  /// Notes to leads that carried a target's load.
+  std::int64_t loadsSent_ = 0;
 };
 
 /// Obtains placements for this router's requests. If this router is a lead of
@@ -52,6 +54,9 @@
   static constexpr int kMaxDoublings = 3;
   /// Runs listed in one message, so that it fits a datagram.
   static constexpr std::size_t kMaxListedRuns = 1500;
+  /// A target's load that is older is not passed on. The next note follows
+  /// within a few milliseconds, except after a head without an event.
+  static constexpr Duration kMaxLoadAge = 50ms;
 
   struct PendingRequest
   {
@@ -71,6 +76,9 @@
     TargetId target_;
     LoadAmounts addedLoad_;
     bool hasFirstEvent_ = false;
+    /// What the target reported with its response, for the next note.
+    std::optional<ReportedLoad> load_ = {};
+    Instant loadAt_{};
   };
 
   struct LeadState
@@ -94,6 +102,7 @@
   std::vector<DispatchDecision> decisions_;
   PlacementOutbox outbox_;
   PlacementCounters counters_;
+  LoadNoteFilter loadFilter_;
   Instant lastTick_{};
 
   /// The lead to ask; empty if this router should place the request itself.
@@ -105,6 +114,8 @@
   auto CancelPending(RequestId aRequest) -> std::optional<PendingRequest>;
   auto OnAnswer(RouterId aFrom, const wire::PlaceAnswer& aAnswer, Instant aNow)
     -> void;
+  /// Adds the target's load to a note about the run if it tells something new.
+  auto AttachLoad(Run* aRun, wire::RunNote* aNote, Instant aNow) -> void;
   auto HandleAnswerTimeouts(Instant aNow) -> void;
   /// Assigns the runs of leads that are no longer live to another lead.
   auto ReassignRuns(Instant aNow) -> void;
@@ -123,6 +134,10 @@
   /// The first event of the run was received.
   auto OnFirstEvent(RequestId aRequest, Instant aNow) -> void;
   auto OnRunEnd(RequestId aRequest, RunOutcome aOutcome, Instant aNow) -> void;
+  /// The run's target reported its load. It goes to the lead with the next note
+  /// about the run.
+  auto OnTargetLoad(RequestId aRequest, const ReportedLoad& aLoad, Instant aNow)
+    -> void;
   /// The run's target asked for no requests for the duration aPause.
   auto OnTargetPause(RequestId aRequest, Duration aPause) -> void;
   /// Handles a message from a lead.
--- a/src/process/placement/placement_server.cpp
+++ b/src/process/placement/placement_server.cpp
@@ -47,6 +47,10 @@
     dispatcher_->PauseTarget(remoteRequests_.at(id).target_,
                              aNow + Duration(aNote.restMicros));
   }
+  if (aNote.__isset.load) {
+    dispatcher_->OnReportedLoad(remoteRequests_.at(id).target_,
+                                DecodeLoad(aNote.load), aNow);
+  }
   if (const auto end = DecodeOutcome(aNote)) {
     EndRemoteRequest(id, *end, aNow);
   } else {
--- a/src/process/placement/placement_wire.cpp
+++ b/src/process/placement/placement_wire.cpp
@@ -17,6 +17,8 @@
   static_cast<std::int32_t>(ShareStanding::kBeyondShare);
 /// Token counts in messages are clamped to this.
 constexpr std::int32_t kMaxTokens = 10'000'000;
+/// Counts and percentages in a target's load are clamped to this.
+constexpr std::int32_t kMaxReported = 100'000;
 
 auto ClampedDuration(std::int64_t aMicros) -> Duration
 {
@@ -162,6 +164,30 @@
   return note;
 }
 
+auto EncodeLoad(const ReportedLoad& aLoad) -> wire::ReportedTargetLoad
+{
+  wire::ReportedTargetLoad load;
+  load.running = aLoad.running_;
+  load.waiting = aLoad.waiting_;
+  load.slots = aLoad.slots_;
+  if (aLoad.slownessPercent_) {
+    load.__set_slownessPercent(*aLoad.slownessPercent_);
+  }
+  return load;
+}
+
+auto DecodeLoad(const wire::ReportedTargetLoad& aLoad) -> ReportedLoad
+{
+  ReportedLoad load;
+  load.running_ = std::clamp(aLoad.running, 0, kMaxReported);
+  load.waiting_ = std::clamp(aLoad.waiting, 0, kMaxReported);
+  load.slots_ = std::clamp(aLoad.slots, 0, kMaxReported);
+  if (aLoad.__isset.slownessPercent && aLoad.slownessPercent > 0) {
+    load.slownessPercent_ = std::min(aLoad.slownessPercent, kMaxReported);
+  }
+  return load;
+}
+
 auto DecodeOutcome(const wire::RunNote& aNote) -> std::optional<RunOutcome>
 {
   const int number = aNote.event - kOutcomeBase;
--- a/src/process/placement/placement_wire.h
+++ b/src/process/placement/placement_wire.h
@@ -43,6 +43,8 @@
 auto MakeFirstEventNote(std::int64_t aNumber) -> wire::RunNote;
 auto MakeOutcomeNote(std::int64_t aNumber, RunOutcome aOutcome)
   -> wire::RunNote;
+auto EncodeLoad(const ReportedLoad& aLoad) -> wire::ReportedTargetLoad;
+auto DecodeLoad(const wire::ReportedTargetLoad& aLoad) -> ReportedLoad;
 /// Decodes how the run ended; empty if the note reports no end.
 auto DecodeOutcome(const wire::RunNote& aNote) -> std::optional<RunOutcome>;
 
--- a/tests/platform/header_adapter_test.cpp
+++ b/tests/platform/header_adapter_test.cpp
@@ -127,5 +127,33 @@
     0us);
 }
 
+// Guards against decisions on a garbled load: it is left out as a whole, except
+// for the fourth figure, which may be missing.
+TEST(HeaderAdapterNotice, LoadIsReadOrLeftOut)
+{
+  const HeaderAdapter adapter;
+  const auto read = [&](const std::string& aText, int aStatus = 200) {
+    return adapter.ReadAnswer(aStatus, { { "X-Instance-Load", aText } })
+      .notice_.load_;
+  };
+  EXPECT_EQ(read("3,2,8,140"), (ReportedLoad{ 3, 2, 8, 140 }));
+  EXPECT_EQ(read(" 3, 2 ,8, 140 "), (ReportedLoad{ 3, 2, 8, 140 }));
+  EXPECT_EQ(read("0,0,8"), (ReportedLoad{ 0, 0, 8 }));
+  EXPECT_EQ(read("3,2,8,"), (ReportedLoad{ 3, 2, 8 }));
+  EXPECT_EQ(read("3,2,8,0"), (ReportedLoad{ 3, 2, 8 }));
+  EXPECT_EQ(read("3,2,8,fast"), (ReportedLoad{ 3, 2, 8 }));
+  // Figures that are added later are skipped.
+  EXPECT_EQ(read("3,2,8,140,7"), (ReportedLoad{ 3, 2, 8, 140 }));
+  for (const auto* text :
+       { "", ",", "3", "3,2", "3,,8", "-1,2,8", "3,2,x", "3 2 8", "3.5,2,8",
+         "99999999999,2,8", "200000,2,8", "0x3,2,8" }) {
+    EXPECT_FALSE(read(text)) << text;
+  }
+  EXPECT_EQ(read("3,2,8", 503), (ReportedLoad{ 3, 2, 8 }));
+  // The load of another target.
+  EXPECT_FALSE(read("3,2,8", 421));
+  EXPECT_FALSE(adapter.ReadAnswer(200, {}).notice_.load_);
+}
+
 } // namespace
 } // namespace burdockring
--- a/tests/process/placement/lead_placement_test.cpp
+++ b/tests/process/placement/lead_placement_test.cpp
@@ -122,6 +122,92 @@
             0U);
 }
 
+// Guards against a lead that forgets the requests of a crashed router while
+// the engine still runs them.
+TEST(LeadPlacementTest, EnginesReportTellsOfTheRunsOfCrashedRouters)
+{
+  RouterZone zone({ .routers_ = 20,
+                    .targets_ = 1,
+                    .slots_ = 64,
+                    .runTime_ = 10s,
+                    .reportsLoad_ = true });
+  zone.Run(3s);
+  for (std::size_t i = 9; i < 14; ++i) {
+    zone.Arrive(i);
+  }
+  zone.Run(100ms);
+  for (std::size_t i = 9; i < 14; ++i) {
+    zone.Freeze(i, true);
+  }
+  zone.Run(4s);
+  const auto target = MakeId<TargetId>("t0");
+  EXPECT_EQ(zone.ReportedRunningAt(kFirstLead, target), 0);
+  EXPECT_EQ(zone.ReportedRunningAt(kSecondLead, target), 0);
+  // Two answers that agree are needed.
+  zone.Arrive(5);
+  zone.Run(200ms);
+  zone.Arrive(5);
+  zone.Run(200ms);
+  int most = 0;
+  for (const auto lead : { kFirstLead, kSecondLead }) {
+    const auto& loads = zone.Node(lead).WorkDispatcher().Loads();
+    most = std::max(most, loads.Find(target)->Corrected(zone.Now()).running_);
+  }
+  // The two that the lead knows of and all but one of the others.
+  EXPECT_EQ(most, 6);
+  EXPECT_GT(zone.Node(5).Placements().Counters().loadsSent_, 0);
+}
+
+// Guards against more control traffic: the load comes with notes that are sent
+// anyway, and nothing is added between leads.
+TEST(LeadPlacementTest, ReportedLoadAddsNoMessagesAndNoBytesBetweenLeads)
+{
+  struct Traffic
+  {
+    std::int64_t datagrams_ = 0;
+    std::int64_t betweenLeads_ = 0;
+    std::int64_t perFollower_ = 0;
+    std::int64_t loads_ = 0;
+  };
+  const auto run = [](bool aReports) {
+    RouterZone zone({ .routers_ = 24,
+                      .targets_ = 8,
+                      .slots_ = 16,
+                      .reportsLoad_ = aReports });
+    zone.Run(3s);
+    Traffic traffic;
+    const auto datagrams = zone.Datagrams();
+    const auto betweenLeads = zone.BytesBetweenLeads();
+    const auto follower = zone.BytesSent(9);
+    for (int round = 0; round < 40; ++round) {
+      SendOneRequestPerRouter(&zone, 24, 2ms);
+    }
+    traffic.datagrams_ = zone.Datagrams() - datagrams;
+    traffic.betweenLeads_ = zone.BytesBetweenLeads() - betweenLeads;
+    traffic.perFollower_ = zone.BytesSent(9) - follower;
+    traffic.loads_ = zone.Node(9).Placements().Counters().loadsSent_;
+    return traffic;
+  };
+  const auto without = run(false);
+  const auto with = run(true);
+  EXPECT_EQ(without.loads_, 0);
+  EXPECT_GT(with.loads_, 0);
+  EXPECT_LE(with.datagrams_, without.datagrams_ * 102 / 100);
+  EXPECT_LE(with.betweenLeads_, without.betweenLeads_ * 102 / 100);
+  // 16 bytes at most for each load. What the router reports besides depends on
+  // the placements.
+  EXPECT_LE(with.perFollower_ - without.perFollower_,
+            with.loads_ * 16 + without.perFollower_ * 2 / 100);
+  RecordProperty("datagrams", std::to_string(without.datagrams_) + " " +
+                                std::to_string(with.datagrams_));
+  RecordProperty("bytes of a router", std::to_string(without.perFollower_) +
+                                        " " +
+                                        std::to_string(with.perFollower_));
+  RecordProperty("bytes between leads", std::to_string(without.betweenLeads_) +
+                                          " " +
+                                          std::to_string(with.betweenLeads_));
+}
+
 class LossyPlacementTest : public testing::TestWithParam<std::uint32_t>
 {
 };
--- a/tests/support/router_zone.h
+++ b/tests/support/router_zone.h
@@ -46,6 +46,8 @@
     bool arePlain_ = false;
     /// Whether crashed engines vanish, so that connections time out.
     bool engineVanishes_ = false;
+    /// Whether answers carry the engine's load.
+    bool reportsLoad_ = false;
   };
 
   /// How one request went.
@@ -123,6 +125,9 @@
   RequestId nextRequest_ = 1;
   int maxRunning_ = 0;
   std::int64_t datagrams_ = 0;
+  /// Bytes sent by each router, and those of the first two to each other.
+  std::map<std::size_t, std::int64_t> bytesSent_;
+  std::int64_t bytesBetweenLeads_ = 0;
   int starts_ = 0;
   int failedRequests_ = 0;
 
@@ -169,11 +174,16 @@
                                   now_);
   }
 
-  auto SendDatagrams(const SendToRouters& aEffect) -> void
+  auto SendDatagrams(std::size_t aRouter, const SendToRouters& aEffect) -> void
   {
     const auto bytes = wire::EncodeEnvelope(aEffect.envelope_);
     for (const auto& place : aEffect.routers_) {
       ++datagrams_;
+      const auto size = static_cast<std::int64_t>(bytes.size());
+      bytesSent_[aRouter] += size;
+      const bool isToLead =
+        place.host_ == HostOf(0) || place.host_ == HostOf(1);
+      bytesBetweenLeads_ += aRouter < 2 && isToLead ? size : 0;
       if (Draw(options_.lossRate_)) {
         continue;
       }
@@ -191,7 +201,7 @@
          effects = node.TakeEffects()) {
       for (const auto& effect : effects) {
         if (const auto* send = std::get_if<SendToRouters>(&effect)) {
-          SendDatagrams(*send);
+          SendDatagrams(aRouter, *send);
         } else if (const auto* attempt = std::get_if<SendAttempt>(&effect)) {
           StartRun(aRouter, *attempt);
         } else if (const auto* failed = std::get_if<FailRequest>(&effect)) {
@@ -274,6 +284,12 @@
       deadlyRuns_.emplace(now_ + *options_.crashDelay_, aRun);
     }
     auto& node = *routers_[aRun.router_]->node_;
+    if (options_.reportsLoad_) {
+      const ReportedLoad load{ running_[aRun.target_], 0, options_.slots_,
+                               100 };
+      node.OnTargetNotice(aRun.request_, aRun.attempt_, { false, 0us, load },
+                          now_);
+    }
     node.OnResponseHead(aRun.request_, aRun.attempt_, now_);
     if (!options_.arePlain_) {
       outcome.beganAtFirstAttempt_ = outcome.sent_.size() == 1;
@@ -471,6 +487,16 @@
   [[nodiscard]] auto Starts() const -> int { return starts_; }
   [[nodiscard]] auto FailedRequests() const -> int { return failedRequests_; }
   [[nodiscard]] auto MaxRunning() const -> int { return maxRunning_; }
+  [[nodiscard]] auto BytesBetweenLeads() const -> std::int64_t
+  {
+    return bytesBetweenLeads_;
+  }
+
+  [[nodiscard]] auto BytesSent(std::size_t aRouter) -> std::int64_t
+  {
+    return bytesSent_[aRouter];
+  }
+
   [[nodiscard]] auto Datagrams() const -> std::int64_t { return datagrams_; }
   [[nodiscard]] auto RunningAt(TargetId aTarget) const -> int
   {
