Longest gap between two events of a stream: metric and log line

A route may declare gapAimMs, the longest gap between two events with which a stream is on time. Nothing read it, so an operator could not see that streams were late by one gap. Decode it into RouteObject::maxEventGap_, measure the gaps where events are forwarded, and show the longest of each stream as a histogram by route, with a counter of streams over the limit, and in a line stream_ended for streams of routes with a limit.

--- a/src/connection/exchange.cpp
+++ b/src/connection/exchange.cpp
@@ -408,6 +408,7 @@
   }
   resumedAfter_.reset();
   NoteFirstByte();
+  port_->Node().OnEventsForwarded(id_, attempt_, BootNow());
   if (const auto last = events_.LastEvent()) {
     port_->Node().OnEventForwarded(id_, *last);
   }
--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -336,6 +336,11 @@
   source_.OnPeerNews(aEffect.list_, aEffect.news_);
 }
 
+auto ForwardingProcess::Apply(const RecordEventGaps& aEffect) -> void
+{
+  metrics_.RecordEventGaps(aEffect.route_, aEffect.longest_, aEffect.limit_);
+}
+
 auto ForwardingProcess::MetricsText() const -> std::string
 {
   const auto& counters = node_.Counters();
--- a/src/main/forwarding_process.h
+++ b/src/main/forwarding_process.h
@@ -83,6 +83,7 @@
   auto Apply(const SendToRouters& aEffect) -> void;
   auto Apply(const ApplyConfiguration& aEffect) -> void;
   auto Apply(const ApplyListNews& aEffect) -> void;
+  auto Apply(const RecordEventGaps& aEffect) -> void;
   [[nodiscard]] auto MetricsText() const -> std::string;
 
 public:
--- a/src/main/metrics.cpp
+++ b/src/main/metrics.cpp
@@ -35,10 +35,15 @@
 
 } // namespace
 
-auto Metrics::MakeSeries() -> Series
+auto Metrics::MakeHistogram() -> Histogram
 {
-  const auto histogram = boost::histogram::make_histogram(
+  return boost::histogram::make_histogram(
     Axis(kBuckets, kLowestSeconds, kHighestSeconds));
+}
+
+auto Metrics::MakeSeries() -> Series
+{
+  const auto histogram = MakeHistogram();
   return { { histogram, histogram, histogram, histogram }, {}, {} };
 }
 
@@ -58,28 +63,43 @@
   return series_.emplace(key, MakeSeries()).first->second;
 }
 
-auto Metrics::WriteHistogram(const SeriesKey& aKey,
-                             const Series& aSeries,
-                             std::size_t aKind,
+auto Metrics::WriteHistogram(const std::string& aName,
+                             const std::string& aLabels,
+                             const Histogram& aHistogram,
+                             double aSum,
                              std::string* aText) -> void
 {
-  const auto& histogram = aSeries.histograms_.at(aKind);
-  const auto name = "burdockring_" + std::string(kKindNames.at(aKind));
-  const auto labels =
-    "account=\"" + aKey.account_ + "\",class=\"" + aKey.class_ + '"';
   // The first bucket of the exposition also holds what is below the axis.
-  double below = histogram.at(-1);
-  for (const auto& cell : boost::histogram::indexed(histogram)) {
+  double below = aHistogram.at(-1);
+  for (const auto& cell : boost::histogram::indexed(aHistogram)) {
     below += *cell;
-    *aText += name + "_bucket{" + labels + ",le=\"" +
+    *aText += aName + "_bucket{" + aLabels + ",le=\"" +
               Number(cell.bin().upper()) + "\"} " + Number(below) + '\n';
   }
-  below += histogram.at(static_cast<int>(kBuckets));
-  *aText +=
-    name + "_bucket{" + labels + ",le=\"+Inf\"} " + Number(below) + '\n';
+  below += aHistogram.at(static_cast<int>(kBuckets));
   *aText +=
-    name + "_sum{" + labels + "} " + Number(aSeries.sums_.at(aKind)) + '\n';
-  *aText += name + "_count{" + labels + "} " + Number(below) + '\n';
+    aName + "_bucket{" + aLabels + ",le=\"+Inf\"} " + Number(below) + '\n';
+  *aText += aName + "_sum{" + aLabels + "} " + Number(aSum) + '\n';
+  *aText += aName + "_count{" + aLabels + "} " + Number(below) + '\n';
+}
+
+auto Metrics::WriteGaps(std::string* aText) const -> void
+{
+  if (gapSeries_.empty()) {
+    return;
+  }
+  *aText += "# TYPE burdockring_longest_event_gap_seconds histogram\n";
+  for (const auto& entry : gapSeries_) {
+    WriteHistogram("burdockring_longest_event_gap_seconds",
+                   "route=\"" + entry.first + '"', entry.second.histogram_,
+                   entry.second.sum_, aText);
+  }
+  *aText += "# TYPE burdockring_streams_over_gap_limit_total counter\n";
+  for (const auto& entry : gapSeries_) {
+    *aText += "burdockring_streams_over_gap_limit_total{route=\"" +
+              entry.first + "\"} " + std::to_string(entry.second.overLimit_) +
+              '\n';
+  }
 }
 
 auto Metrics::Record(const RequestTiming& aTiming) -> void
@@ -101,6 +121,22 @@
   }
 }
 
+auto Metrics::RecordEventGaps(const std::string& aRoute,
+                              Duration aLongest,
+                              Duration aLimit) -> void
+{
+  const std::lock_guard lock(mutex_);
+  const bool isFull =
+    !gapSeries_.contains(aRoute) && gapSeries_.size() >= kMaxSeries;
+  auto& series = gapSeries_
+                   .try_emplace(isFull ? std::string("other") : aRoute,
+                                GapSeries{ MakeHistogram(), 0, 0 })
+                   .first->second;
+  series.histogram_(Seconds(aLongest));
+  series.sum_ += Seconds(aLongest);
+  series.overLimit_ += aLimit > 0us && aLongest > aLimit ? 1 : 0;
+}
+
 auto Metrics::ToText() const -> std::string
 {
   const std::lock_guard lock(mutex_);
@@ -109,7 +145,11 @@
     text +=
       "# TYPE burdockring_" + std::string(kKindNames.at(kind)) + " histogram\n";
     for (const auto& entry : series_) {
-      WriteHistogram(entry.first, entry.second, kind, &text);
+      WriteHistogram("burdockring_" + std::string(kKindNames.at(kind)),
+                     "account=\"" + entry.first.account_ + "\",class=\"" +
+                       entry.first.class_ + '"',
+                     entry.second.histograms_.at(kind),
+                     entry.second.sums_.at(kind), &text);
     }
   }
   text += "# TYPE burdockring_answers_total counter\n";
@@ -121,6 +161,7 @@
               std::to_string(answers.second) + '\n';
     }
   }
+  WriteGaps(&text);
   return text;
 }
 
--- a/src/main/metrics.h
+++ b/src/main/metrics.h
@@ -48,18 +48,35 @@
     std::map<RunState, std::int64_t> answers_;
   };
 
+  /// The longest gaps of the streams of one route.
+  struct GapSeries
+  {
+    Histogram histogram_;
+    double sum_ = 0;
+    std::int64_t overLimit_ = 0;
+  };
+
   mutable std::mutex mutex_;
   std::map<SeriesKey, Series> series_;
+  std::map<std::string, GapSeries> gapSeries_;
 
   static auto MakeSeries() -> Series;
   auto FindSeries(const RequestTiming& aTiming) -> Series&;
-  static auto WriteHistogram(const SeriesKey& aKey,
-                             const Series& aSeries,
-                             std::size_t aKind,
+  static auto MakeHistogram() -> Histogram;
+  static auto WriteHistogram(const std::string& aName,
+                             const std::string& aLabels,
+                             const Histogram& aHistogram,
+                             double aSum,
                              std::string* aText) -> void;
+  auto WriteGaps(std::string* aText) const -> void;
 
 public:
   auto Record(const RequestTiming& aTiming) -> void;
+  /// Records the longest gap between two events of a stream, and whether it
+  /// exceeds the limit of the route. No limit: zero.
+  auto RecordEventGaps(const std::string& aRoute,
+                       Duration aLongest,
+                       Duration aLimit) -> void;
   /// All series in the text exposition format.
   [[nodiscard]] auto ToText() const -> std::string;
 };
--- a/src/process/forwarding/forwarding_effects.h
+++ b/src/process/forwarding/forwarding_effects.h
@@ -84,12 +84,22 @@
   wire::ListNews news_;
 };
 
+/// Record the gaps of a stream that has ended, for the metrics.
+struct RecordEventGaps
+{
+  std::string route_;
+  Duration longest_{};
+  /// The route's limit; zero if it has none.
+  Duration limit_{};
+};
+
 using ForwardingEffect = std::variant<SendAttempt,
                                       AbortAttempt,
                                       FailRequest,
                                       SendToRouters,
                                       ApplyConfiguration,
-                                      ApplyListNews>;
+                                      ApplyListNews,
+                                      RecordEventGaps>;
 
 using ForwardingEffects = std::vector<ForwardingEffect>;
 
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -49,8 +49,36 @@
   return found == requests_.end() ? nullptr : found->second.get();
 }
 
+auto ForwardingNode::ReportEventGaps(const Request& aRequest) -> void
+{
+  const auto& gaps = aRequest.gaps_;
+  if (gaps.GapCount() == 0) {
+    return;
+  }
+  const auto& route = *aRequest.route_;
+  effects_.emplace_back(
+    RecordEventGaps{ route.name_, gaps.Longest(), route.maxEventGap_ });
+  if (route.maxEventGap_ == 0us) {
+    return;
+  }
+  const auto* target = directory_.Find(aRequest.target_);
+  log_->Write(
+    "stream_ended",
+    { { "request", aRequest.arrival_.facts_.attemptId_ },
+      { "route", route.name_ },
+      { "target", target == nullptr ? std::string_view("unlisted")
+                                    : std::string_view(target->instance_) },
+      { "gaps", gaps.GapCount() },
+      { "longest_gap_ms", ToMillis(gaps.Longest()) },
+      { "gap_limit_ms", ToMillis(route.maxEventGap_) },
+      { "over_limit",
+        std::int64_t{ gaps.Longest() > route.maxEventGap_ ? 1 : 0 } },
+      { "version", aRequest.table_->Version() } });
+}
+
 auto ForwardingNode::Erase(const Request& aRequest) -> void
 {
+  ReportEventGaps(aRequest);
   const auto id = aRequest.arrival_.id_;
   deadlines_.erase({ aRequest.deadline_, id });
   requests_.erase(id);
@@ -694,6 +722,16 @@
   }
 }
 
+auto ForwardingNode::OnEventsForwarded(RequestId aRequest,
+                                       int aAttempt,
+                                       Instant aNow) -> void
+{
+  auto* request = Find(aRequest);
+  if (request != nullptr && request->attempt_ == aAttempt) {
+    request->gaps_.OnEvents(aNow);
+  }
+}
+
 auto ForwardingNode::OnResponseComplete(RequestId aRequest,
                                         int aAttempt,
                                         bool aSuccess,
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -16,6 +16,7 @@
 #include "process/placement/policy.h"
 #include "process/placement/target_directory.h"
 #include "process/quarantine/part_quarantine.h"
+#include "request/event_gap_meter.h"
 #include "request/request_metadata.h"
 #include "request/request_state_machine.h"
 
@@ -131,6 +132,7 @@
     int misplaced_ = 0;
     bool responseStarted_ = false;
     std::optional<std::uint64_t> lastEvent_;
+    EventGapMeter gaps_;
   };
 
   ForwardingOptions options_;
@@ -161,6 +163,8 @@
 
   auto Find(RequestId aRequest) -> Request*;
   auto Erase(const Request& aRequest) -> void;
+  /// Reports the gaps between the events of a stream that ends.
+  auto ReportEventGaps(const Request& aRequest) -> void;
   /// Finds the request's route and checks whether this router accepts it.
   auto CheckRoute(Request* aRequest) -> AdmissionResult;
   /// Finds the account if the route requires a key.
@@ -261,6 +265,9 @@
     -> void;
   /// A complete event was sent to the caller.
   auto OnEventForwarded(RequestId aRequest, std::uint64_t aEvent) -> void;
+  /// Complete events, with or without ids, were sent to the caller.
+  auto OnEventsForwarded(RequestId aRequest, int aAttempt, Instant aNow)
+    -> void;
   /// The complete response was sent to the caller. aSuccess: it was not an
   /// error of the target.
   auto OnResponseComplete(RequestId aRequest,
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -42,6 +42,9 @@
   Duration timeout_{};
   /// Latency objective for the response, or for a stream's first event.
   Duration latencyObjective_{};
+  /// Longest gap between two events with which a stream is on time; zero if it
+  /// has no limit.
+  Duration maxEventGap_{};
   int maxAttempts_ = 1;
   /// Whether requests need no API key.
   bool public_ = false;
--- /dev/null
+++ b/tests/main/metrics_test.cpp
@@ -0,0 +1,49 @@
+#include "main/metrics.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace burdockring {
+namespace {
+
+using testing::HasSubstr;
+using testing::Not;
+
+// Without the counter an operator can't tell streams just over the limit from
+// those just under it, as both may be in one bucket.
+TEST(MetricsTest, ShowsLongestGapsAndStreamsOverTheLimitByRoute)
+{
+  Metrics metrics;
+  EXPECT_THAT(metrics.ToText(), Not(HasSubstr("event_gap")));
+  metrics.RecordEventGaps("talk", 250ms, 300ms);
+  metrics.RecordEventGaps("talk", 310ms, 300ms);
+  metrics.RecordEventGaps("free", 2s, 0us);
+  const auto text = metrics.ToText();
+  EXPECT_THAT(
+    text,
+    HasSubstr("burdockring_longest_event_gap_seconds_count{route=\"talk\"} 2"));
+  EXPECT_THAT(
+    text, HasSubstr(
+            "burdockring_longest_event_gap_seconds_sum{route=\"talk\"} 0.56"));
+  EXPECT_THAT(
+    text,
+    HasSubstr("burdockring_streams_over_gap_limit_total{route=\"talk\"} 1"));
+  EXPECT_THAT(
+    text,
+    HasSubstr("burdockring_streams_over_gap_limit_total{route=\"free\"} 0"));
+}
+
+TEST(MetricsTest, RoutesBeyondTheBoundCountTogether)
+{
+  Metrics metrics;
+  for (int i = 0; i < 600; ++i) {
+    metrics.RecordEventGaps("route-" + std::to_string(i), 10ms, 0us);
+  }
+  EXPECT_THAT(
+    metrics.ToText(),
+    HasSubstr("burdockring_longest_event_gap_seconds_count{route=\"other\"} "
+              "88"));
+}
+
+} // namespace
+} // namespace burdockring
--- a/tests/platform/record_codec_test.cpp
+++ b/tests/platform/record_codec_test.cpp
@@ -28,6 +28,7 @@
   EXPECT_EQ((*table)->FindRoute("h", "/a/b/c?x=/z/")->name_, "q");
   const auto* route = (*table)->FindRoute("h", "/a/c");
   EXPECT_EQ(route->name_, "r");
+  EXPECT_EQ(route->maxEventGap_, 200ms);
   EXPECT_TRUE(route->IsRetryable());
   EXPECT_EQ(route->shares_.size(), 2U);
   EXPECT_EQ((*table)->FindRoute("h", "/b"), nullptr);
@@ -49,6 +50,26 @@
   EXPECT_FALSE(DecodeConfiguration(R"({"version":"1","routes":[]})").ok());
 }
 
+// Only a stream has events, and a limit that is no duration is none: it must
+// not make all responses late.
+TEST(RecordCodec, GapLimitIsThatOfAStreamOrNone)
+{
+  const auto limit = [](const std::string& aKind, const std::string& aField) {
+    const auto table = DecodeConfiguration(
+      R"({"version":1,"routes":[{"host":"h","pathPrefix":"/","service":"s",)"
+      R"("kind":")" +
+      aKind + '"' + aField + "}]}");
+    EXPECT_TRUE(table.ok()) << table.status();
+    return (*table)->FindRoute("h", "/")->maxEventGap_;
+  };
+  EXPECT_EQ(limit("stream", R"(,"gapAimMs":300)"), 300ms);
+  EXPECT_EQ(limit("stream", ""), 0us);
+  EXPECT_EQ(limit("stream", R"(,"gapAimMs":-5)"), 0us);
+  EXPECT_EQ(limit("stream", R"(,"gapAimMs":"300")"), 0us);
+  EXPECT_EQ(limit("stream", R"(,"gapAimMs":null)"), 0us);
+  EXPECT_EQ(limit("safe", R"(,"gapAimMs":300)"), 0us);
+}
+
 /// A configuration with one route that is not public.
 auto ConfigurationWith(const std::string& aAccounts) -> std::string
 {
--- a/tests/process/forwarding/forwarding_node_test.cpp
+++ b/tests/process/forwarding/forwarding_node_test.cpp
@@ -3,6 +3,8 @@
 #include "support/forwarding_fixture.h"
 
 #include <gtest/gtest.h>
+#include <map>
+#include <memory>
 #include <set>
 
 namespace burdockring {
@@ -187,6 +189,70 @@
   EXPECT_TRUE(Take<FailRequest>());
 }
 
+/// Values of the number fields of the next lines of this event.
+auto NumbersOf(MockEventLog* aLog, std::string_view aEvent)
+  -> std::shared_ptr<std::map<std::string, std::int64_t>>
+{
+  auto numbers = std::make_shared<std::map<std::string, std::int64_t>>();
+  ON_CALL(*aLog, Write(aEvent, testing::_))
+    .WillByDefault([numbers](std::string_view /*aName*/,
+                             std::initializer_list<LogField> aFields) {
+      for (const auto& field : aFields) {
+        if (const auto* number = std::get_if<std::int64_t>(&field.value_)) {
+          (*numbers)[std::string(field.name_)] = *number;
+        }
+      }
+    });
+  return numbers;
+}
+
+// An operator must find the streams that were late by one gap only. The gap
+// where a stream goes on at another target counts, as the caller sees it.
+TEST_F(ForwardingNodeTest, LongestGapIsReportedWithTheLimitOfTheRoute)
+{
+  MakeReady(1s);
+  node_->OnConfiguration(MakeTable(6, false, 0, 0, 300ms), "text", 1s);
+  const auto line = NumbersOf(&log_, "stream_ended");
+  const auto id = Arrive("talk", "key-a", 1s);
+  node_->OnAttemptSent(id, 1);
+  node_->OnResponseStarted(id, 1, 1100ms);
+  node_->OnEventsForwarded(id, 1, 1100ms);
+  node_->OnEventsForwarded(id, 1, 1200ms);
+  node_->OnAttemptFailed(id, 1, AttemptStage::kResponding, "reset", 1250ms);
+  // A late event of the attempt that broke is not the stream's.
+  node_->OnEventsForwarded(id, 1, 1300ms);
+  node_->OnAttemptSent(id, 2);
+  node_->OnEventsForwarded(id, 2, 1510ms);
+  node_->OnEventsForwarded(id, 2, 1560ms);
+  node_->OnResponseComplete(id, 2, true, 1600ms);
+  const auto gaps = Take<RecordEventGaps>();
+  ASSERT_TRUE(gaps);
+  EXPECT_EQ(gaps->route_, "talk");
+  EXPECT_EQ(gaps->longest_, Duration(310ms));
+  EXPECT_EQ(gaps->limit_, Duration(300ms));
+  EXPECT_EQ((*line)["longest_gap_ms"], 310);
+  EXPECT_EQ((*line)["gap_limit_ms"], 300);
+  EXPECT_EQ((*line)["gaps"], 3);
+  EXPECT_EQ((*line)["over_limit"], 1);
+}
+
+// A line for each stream would crowd out others where no limit calls for it.
+TEST_F(ForwardingNodeTest, StreamWithoutLimitWritesNoLineOfItsGaps)
+{
+  MakeReady(1s);
+  EXPECT_CALL(log_, Write(testing::_, testing::_)).Times(testing::AnyNumber());
+  EXPECT_CALL(log_, Write(std::string_view("stream_ended"), testing::_))
+    .Times(0);
+  const auto id = Arrive("talk", "key-a", 1s);
+  node_->OnAttemptSent(id, 1);
+  node_->OnEventsForwarded(id, 1, 1100ms);
+  node_->OnEventsForwarded(id, 1, 1500ms);
+  node_->OnCallerDisconnected(id, 1600ms);
+  const auto gaps = Take<RecordEventGaps>();
+  ASSERT_TRUE(gaps);
+  EXPECT_EQ(gaps->limit_, 0us);
+}
+
 TEST_F(ForwardingNodeTest, TimeoutAbortsTheAttemptAndFailsTheRequest)
 {
   MakeReady(1s);
--- a/tests/support/forwarding_fixture.h
+++ b/tests/support/forwarding_fixture.h
@@ -55,11 +55,12 @@
 /// Makes a table with routes "read" (safe), "write" (unsafe, no key needed) and
 /// "talk" (a resumable stream), accounts "a" with key "key-a" and "b" with
 /// "key-b", and one service "pool", whose engines by default copy the KV cache
-/// of a token in 7 us.
+/// of a token in 7 us. Streams may have a limit of the gap between two events.
 inline auto MakeTable(std::int64_t aVersion,
                       bool aEngines = true,
                       double aTokensPerSecond = 0,
-                      double aCopyMsPerToken = 0.007) -> RouteTablePointer
+                      double aCopyMsPerToken = 0.007,
+                      Duration aMaxEventGap = 0us) -> RouteTablePointer
 {
   RoutedService service;
   service.name_ = "pool";
@@ -70,6 +71,7 @@
   service.copyMsPerToken_ = aEngines ? aCopyMsPerToken : 0;
   auto stream = MakeRoute("talk", RouteKind::kStream);
   stream.resumable_ = true;
+  stream.maxEventGap_ = aMaxEventGap;
   auto write = MakeRoute("write", RouteKind::kUnsafe);
   write.public_ = true;
   return RouteTableBuilder(aVersion)
