Pace prompts to engines that run streams with a gap limit

Prompts that follow each other at an engine put a chunk of reading into each step of its batch, so that an event of eight tokens takes longer than the limit. PromptPacer bounds the reading of an engine in any span as long as the limit to the limit less the usual gap, both learned. A prompt without room goes to another engine that need not read more of it, waits within its queueing time, or starts where the excess is least. Only services with a limited stream route are paced.

--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -381,6 +381,10 @@
                            node_.PlacementsForOthers().RemoteRequestCount()));
   add("placement_messages_skipped_total",
       node_.PlacementsForOthers().MalformedCount());
+  const auto& pacing = node_.WorkDispatcher().Pacing();
+  add("prompts_shifted_total", pacing.shifted_);
+  add("prompts_held_total", pacing.held_);
+  add("prompts_without_room_total", pacing.withoutRoom_);
   add("requests_open", static_cast<std::int64_t>(node_.RequestCount()));
   add("requests_waiting",
       static_cast<std::int64_t>(node_.WorkDispatcher().WaitingCount()));
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -194,6 +194,7 @@
   item.service_ = ChooseService(route, arrival.facts_.attemptId_);
   item.arrival_ = arrival.received_;
   item.latencyObjective_ = route.latencyObjective_;
+  item.maxEventGap_ = route.maxEventGap_;
   item.deadline_ = aRequest->deadline_;
   item.promptTokens_ = arrival.facts_.promptTokens_;
   item.parts_ = arrival.facts_.parts_;
@@ -727,8 +728,12 @@
                                        Instant aNow) -> void
 {
   auto* request = Find(aRequest);
-  if (request != nullptr && request->attempt_ == aAttempt) {
-    request->gaps_.OnEvents(aNow);
+  if (request == nullptr || request->attempt_ != aAttempt) {
+    return;
+  }
+  const auto gap = request->gaps_.OnEvents(aNow);
+  if (gap && request->route_->maxEventGap_ > 0us) {
+    dispatcher_.LearnEventGap(request->item_.service_, *gap);
   }
 }
 
--- a/src/process/placement/dispatcher.cpp
+++ b/src/process/placement/dispatcher.cpp
@@ -39,6 +39,9 @@
     loads_.RemoveUnless([this](TargetId aTarget) {
       return directory_->Find(aTarget) != nullptr;
     });
+    pacer_.RemoveUnless([this](TargetId aTarget) {
+      return directory_->Find(aTarget) != nullptr;
+    });
     targetsVersion_ = directory_->Version();
   }
   const auto found = targets_.find(aService);
@@ -131,6 +134,14 @@
     return false;
   }
   if (candidate->isWithinLimits_) {
+    const auto paced = Pace(aItem, *service, limits, *candidate, aNow);
+    if (paced) {
+      Start(aItem, *paced, *service, standing, aNow);
+    }
+    return paced.has_value();
+  }
+  if (candidate->hasSlot_ && MustStart(aItem, aNow)) {
+    ++pacingCounters_.withoutRoom_;
     Start(aItem, *candidate, *service, standing, aNow);
     return true;
   }
@@ -142,6 +153,99 @@
   return false;
 }
 
+auto Dispatcher::Pace(const WorkItem& aItem,
+                      const RoutedService& aService,
+                      SelectionLimits aLimits,
+                      const Candidate& aCandidate,
+                      Instant aNow) -> std::optional<Candidate>
+{
+  const auto limit = aService.minEventGapLimit_;
+  const auto allowance = pacer_.Allowance(aService.id_, limit);
+  if (limit == 0us || !allowance) {
+    return aCandidate;
+  }
+  aLimits.pacing_ = PromptPacing{ &pacer_,
+                                  aService.id_,
+                                  *allowance,
+                                  limit,
+                                  aCandidate.addedLoad_.prefillTokens_,
+                                  false };
+  const auto paced = targetSelector_.Select(
+    aItem, aService, TargetsOf(aService.id_), aLimits, aNow);
+  const bool hasRoom = paced && paced->isWithinLimits_;
+  if (hasRoom || pacer_.IsOverloaded(aService.id_)) {
+    pacer_.RecordRoom(aService.id_, hasRoom);
+  }
+  if (pacer_.IsOverloaded(aService.id_)) {
+    ++pacingCounters_.withoutRoom_;
+    return aCandidate;
+  }
+  if (hasRoom) {
+    pacingCounters_.shifted_ += paced->target_ == aCandidate.target_ ? 0 : 1;
+    return paced;
+  }
+  const bool hasTime =
+    aNow + kPacingStep < WaitDeadline(aItem) &&
+    (!aLimits.maxWait_ || aCandidate.wait_ + kPacingStep < *aLimits.maxWait_);
+  if (!aItem.isContinuation_ && hasTime) {
+    ++pacingCounters_.held_;
+    heldRequests_.insert(aItem.id_);
+    return std::nullopt;
+  }
+  pacer_.RecordRoom(aService.id_, false);
+  ++pacingCounters_.withoutRoom_;
+  aLimits.pacing_->allowsExcess_ = true;
+  return targetSelector_.Select(aItem, aService, TargetsOf(aService.id_),
+                                aLimits, aNow);
+}
+
+auto Dispatcher::MustStart(const WorkItem& aItem, Instant aNow) const -> bool
+{
+  return aNow + kPacingStep >= WaitDeadline(aItem) &&
+         heldRequests_.contains(aItem.id_);
+}
+
+auto Dispatcher::GapLimitAt(TargetId aTarget) const -> Duration
+{
+  const auto* target = directory_->Find(aTarget);
+  const auto* service =
+    target == nullptr ? nullptr : table_->FindService(target->service_);
+  return service == nullptr ? Duration(0) : service->minEventGapLimit_;
+}
+
+auto Dispatcher::PeerPrompts(const std::vector<wire::TargetUse>& aRows)
+  -> std::vector<int>
+{
+  std::vector<int> tokens;
+  for (const auto& row : aRows) {
+    const auto& load = loads_.At(TargetId{ row.target });
+    tokens.push_back(load.Total().prefillTokens_ - load.Local().prefillTokens_);
+  }
+  return tokens;
+}
+
+auto Dispatcher::PacePeerPrompts(const std::vector<wire::TargetUse>& aRows,
+                                 const std::vector<int>& aBefore,
+                                 Instant aNow) -> void
+{
+  const auto after = PeerPrompts(aRows);
+  for (std::size_t i = 0; i < aRows.size(); ++i) {
+    const TargetId target{ aRows[i].target };
+    const auto limit = GapLimitAt(target);
+    const int added = after[i] - aBefore[i];
+    if (limit == 0us || added <= 0) {
+      continue;
+    }
+    const auto service = directory_->Find(target)->service_;
+    const auto& load = loads_.At(target);
+    const int earlier = load.Total().prefillTokens_ - added;
+    pacer_.OnPromptSent(target, pacer_.ReadingTime(service, load, added),
+                        pacer_.ReadingTime(service, load, earlier), limit,
+                        aNow);
+    pacer_.OnPeerPrompt(target, aNow);
+  }
+}
+
 auto Dispatcher::StandingOf(const WorkItem& aItem,
                             const RoutedService& aService,
                             Instant aNow) -> ShareStanding
@@ -168,6 +272,19 @@
     aCandidate.copyFrom_
       ? 0
       : load.Total().prefillTokens_ + aCandidate.addedLoad_.prefillTokens_;
+  if (aService.minEventGapLimit_ > 0us) {
+    pacer_.OnPromptSent(
+      run.target_,
+      pacer_.ReadingTime(aService.id_, load, run.addedLoad_.prefillTokens_),
+      pacer_.ReadingTime(aService.id_, load, load.Total().prefillTokens_),
+      aService.minEventGapLimit_, aNow);
+  }
+  run.hasGapLimit_ = aItem.maxEventGap_ > 0us;
+  if (run.hasGapLimit_) {
+    pacer_.OnLimitedRunStart(run.target_);
+  }
+  run.isBehindOwnOnly_ =
+    load.Total().prefillTokens_ == load.Local().prefillTokens_;
   load.Add(run.addedLoad_);
   if (aService.isEngine_) {
     for (const auto& part : aItem.parts_) {
@@ -179,6 +296,7 @@
     shares_.Charge(run.account_, run.chargedTokens_, aNow);
   }
   runs_[aItem.id_] = run;
+  heldRequests_.erase(aItem.id_);
   loadChanged_ = true;
   ++decisionCount_;
   decisions_.emplace_back(StartDecision{ aItem.id_, aCandidate.target_,
@@ -230,6 +348,7 @@
                         RejectDecision aRejection,
                         Instant aNow) -> void
 {
+  heldRequests_.erase(aItem.id_);
   aRejection.standing_ =
     shares_.StandingWith(aItem.account_, ChargedTokens(aItem), aNow);
   const bool isLowPriority =
@@ -310,6 +429,11 @@
 {
   table_ = std::move(aTable);
   targets_.clear();
+  const auto& services = table_->Services();
+  hasGapLimits_ =
+    std::any_of(services.begin(), services.end(), [](const auto& aEntry) {
+      return aEntry.second.minEventGapLimit_ > 0us;
+    });
   shares_.SetTokensPerSecond(table_->TokensPerSecond());
 }
 
@@ -354,6 +478,7 @@
 
 auto Dispatcher::Withdraw(RequestId aRequest) -> void
 {
+  heldRequests_.erase(aRequest);
   std::erase_if(waiting_, [&](const WaitingRequest& aWaiting) {
     return aWaiting.item_.id_ == aRequest;
   });
@@ -371,6 +496,14 @@
   run.hasFirstEvent_ = true;
   auto& load = loads_.At(run.target_);
   load.Remove({ 0, run.addedLoad_.prefillTokens_, 0 });
+  const auto limit = GapLimitAt(run.target_);
+  if (limit > 0us && load.Total().prefillTokens_ == 0) {
+    pacer_.OnBacklogRead(run.target_, aNow);
+  }
+  if (limit > 0us && run.isBehindOwnOnly_) {
+    pacer_.OnFirstEvent(run.service_, run.target_,
+                        run.addedLoad_.prefillTokens_, run.started_, aNow);
+  }
   LearnPrefillSpeed(run, aNow);
   load.OnSuccess();
   for (const auto id : run.parts_) {
@@ -415,6 +548,9 @@
   const auto& run = found->second;
   auto& load = loads_.At(run.target_);
   load.Remove(run.addedLoad_);
+  if (run.hasGapLimit_) {
+    pacer_.OnLimitedRunEnd(run.target_);
+  }
   const bool failed =
     aOutcome == RunOutcome::kRefused || aOutcome == RunOutcome::kFailed;
   if (failed && !run.hasFirstEvent_ && run.chargedTokens_ > 0) {
@@ -441,6 +577,14 @@
   runs_.erase(found);
 }
 
+auto Dispatcher::LearnEventGap(ServiceId aService, Duration aGap) -> void
+{
+  const auto* service = table_->FindService(aService);
+  if (service != nullptr && service->minEventGapLimit_ > 0us) {
+    pacer_.LearnGap(aService, service->minEventGapLimit_, aGap);
+  }
+}
+
 auto Dispatcher::AdoptRun(RequestId aRequest,
                           TargetId aTarget,
                           const LoadAmounts& aAdds,
@@ -450,6 +594,11 @@
   run.target_ = aTarget;
   run.addedLoad_ = aAdds;
   run.hasFirstEvent_ = aHasFirstEvent;
+  // The limit of its route is not known here; its service's may apply.
+  run.hasGapLimit_ = GapLimitAt(aTarget) > 0us;
+  if (run.hasGapLimit_) {
+    pacer_.OnLimitedRunStart(aTarget);
+  }
   loads_.At(aTarget).Add(aAdds);
   runs_[aRequest] = run;
   loadChanged_ = true;
@@ -516,7 +665,12 @@
                               Instant aNow) -> void
 {
   capacityMayHaveFreed_ = true;
+  const auto before =
+    hasGapLimits_ ? PeerPrompts(aReport.targets) : std::vector<int>();
   loads_.SetPeerUsage(aPeer, aReport.targets, aReport.partial, aNow);
+  if (hasGapLimits_) {
+    PacePeerPrompts(aReport.targets, before, aNow);
+  }
   shares_.SetPeerUsage(aPeer, aReport.accounts, aReport.partial, aNow);
   for (const auto& read : aReport.reads) {
     const TargetId target{ read.target };
@@ -589,6 +743,29 @@
   return estimates;
 }
 
+auto Dispatcher::PacingEstimates() const -> std::vector<PacingEstimate>
+{
+  constexpr int kTokens = 100'000;
+  std::vector<PacingEstimate> estimates;
+  for (const auto& entry : table_->Services()) {
+    const auto limit = entry.second.minEventGapLimit_;
+    if (limit == 0us) {
+      continue;
+    }
+    const std::chrono::duration<double, std::milli> reading =
+      pacer_.ReadingTime(entry.first, TargetLoad(), kTokens);
+    estimates.push_back({ entry.first, limit,
+                          pacer_.Allowance(entry.first, limit).value_or(0us),
+                          reading.count() / kTokens });
+  }
+  return estimates;
+}
+
+auto Dispatcher::Pacing() const -> const PacingCounters&
+{
+  return pacingCounters_;
+}
+
 auto Dispatcher::ShareLevels() const -> const AccountShares::Levels&
 {
   return shares_.CurrentLevels();
--- a/src/process/placement/dispatcher.h
+++ b/src/process/placement/dispatcher.h
@@ -2,6 +2,7 @@
 #define BURDOCKRING_PROCESS_PLACEMENT_DISPATCHER_H
 
 #include "process/admission/account_shares.h"
+#include "process/placement/prompt_pacer.h"
 #include "process/placement/report_delta.h"
 #include "process/placement/target_directory.h"
 #include "process/placement/target_load.h"
@@ -13,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -85,6 +87,19 @@
   Duration firstEventTime_{};
 };
 
+/// Figures on which the pacing of prompts for a service with a gap limit is
+/// based.
+struct PacingEstimate
+{
+  ServiceId service_;
+  Duration limit_{};
+  /// How long an engine may read in any span as long as the limit; zero if the
+  /// engines are too slow for the limit and are not paced.
+  Duration allowance_{};
+  /// Reading time of a token at an engine of usual speed, in milliseconds.
+  double msPerToken_ = 0;
+};
+
 /// Decides which request starts, waits or is rejected, and on which target it
 /// runs. Performs no I/O: takes requests and run events, returns decisions.
 ///
@@ -126,6 +141,9 @@
   static constexpr Duration kMaxRetryAfter = 4s;
   /// How often waiting requests are retried although no change is known.
   static constexpr Duration kFullScanInterval = 25ms;
+  /// How long before the end of its wait a prompt that was held must start, so
+  /// that a scan comes in between.
+  static constexpr Duration kPacingStep = 2 * kFullScanInterval;
   /// Consecutive waiting requests that find no capacity before the scan stops.
   /// The remaining ones come later in the order of shares, and each attempt
   /// evaluates every target.
@@ -147,6 +165,10 @@
     /// Shared parts of the prompt.
     PartIds parts_;
     bool hasFirstEvent_ = false;
+    /// Whether its stream has a limit of the gap between two events.
+    bool hasGapLimit_ = false;
+    /// Whether no prompt of another router was waiting when it started.
+    bool isBehindOwnOnly_ = false;
   };
 
   struct WaitingRequest
@@ -163,6 +185,12 @@
   /// Prefill speed of each service's engines.
   std::map<ServiceId, PrefillEstimator> prefillEstimators_;
   TargetLoadTable loads_;
+  PromptPacer pacer_;
+  PacingCounters pacingCounters_;
+  /// Waiting requests that could have started but for their engine's streams.
+  std::set<RequestId> heldRequests_;
+  /// Whether a service in the table limits the gaps of its streams.
+  bool hasGapLimits_ = false;
   AccountShares shares_;
   RouteTablePointer table_;
   std::vector<WaitingRequest> waiting_;
@@ -217,6 +245,27 @@
   [[nodiscard]] auto MinRetryAfter(const WorkItem& aItem) const -> Duration;
   auto TryStart(const WorkItem& aItem, Instant aNow, RejectDecision* aRejection)
     -> bool;
+  /// The engine for a prompt that may start at aCandidate: one with room where
+  /// the service limits the gaps of streams, else aCandidate. Empty if the
+  /// prompt should wait for room, for which there is time.
+  auto Pace(const WorkItem& aItem,
+            const RoutedService& aService,
+            SelectionLimits aLimits,
+            const Candidate& aCandidate,
+            Instant aNow) -> std::optional<Candidate>;
+  /// Whether the request only waits for room beside streams and has to start
+  /// now: pacing must not cause a rejection.
+  [[nodiscard]] auto MustStart(const WorkItem& aItem, Instant aNow) const
+    -> bool;
+  /// The gap limit of the engine's service; zero if there is none.
+  [[nodiscard]] auto GapLimitAt(TargetId aTarget) const -> Duration;
+  /// Prompt tokens of peers at the engines of these rows, in order.
+  auto PeerPrompts(const std::vector<wire::TargetUse>& aRows)
+    -> std::vector<int>;
+  /// Counts the prompts that peers sent since their tokens were aBefore.
+  auto PacePeerPrompts(const std::vector<wire::TargetUse>& aRows,
+                       const std::vector<int>& aBefore,
+                       Instant aNow) -> void;
   auto Start(const WorkItem& aItem,
              const Candidate& aCandidate,
              const RoutedService& aService,
@@ -256,6 +305,8 @@
   /// The first event of the run was received.
   auto OnFirstEvent(RequestId aRequest, Instant aNow) -> void;
   auto OnRunEnd(RequestId aRequest, RunOutcome aOutcome, Instant aNow) -> void;
+  /// A gap between two events of a stream of this router was observed.
+  auto LearnEventGap(ServiceId aService, Duration aGap) -> void;
   /// Takes over a run that another router placed.
   auto AdoptRun(RequestId aRequest,
                 TargetId aTarget,
@@ -281,6 +332,8 @@
   [[nodiscard]] auto RunningCount() const -> std::size_t;
   [[nodiscard]] auto Loads() const -> const TargetLoadTable&;
   [[nodiscard]] auto EngineEstimates() const -> std::vector<EngineEstimate>;
+  [[nodiscard]] auto PacingEstimates() const -> std::vector<PacingEstimate>;
+  [[nodiscard]] auto Pacing() const -> const PacingCounters&;
   [[nodiscard]] auto ShareLevels() const -> const AccountShares::Levels&;
   /// Requests started or rejected since the process started.
   [[nodiscard]] auto DecisionCount() const -> std::int64_t;
--- a/src/process/placement/placement_state_log.cpp
+++ b/src/process/placement/placement_state_log.cpp
@@ -42,6 +42,22 @@
   }
 }
 
+auto PlacementStateLog::WritePromptPacing() -> void
+{
+  using Millis = std::chrono::duration<double, std::milli>;
+  const auto& counters = dispatcher_->Pacing();
+  for (const auto& estimate : dispatcher_->PacingEstimates()) {
+    log_->Write("prompt_pacing",
+                { { "service", std::int64_t{ estimate.service_.value_ } },
+                  { "gap_limit_ms", Millis(estimate.limit_).count() },
+                  { "allowance_ms", Millis(estimate.allowance_).count() },
+                  { "read_ms_per_token", estimate.msPerToken_ },
+                  { "shifted_so_far", counters.shifted_ },
+                  { "held_so_far", counters.held_ },
+                  { "without_room_so_far", counters.withoutRoom_ } });
+  }
+}
+
 PlacementStateLog::PlacementStateLog(const Dispatcher* aDispatcher,
                                      EventLog* aLog)
   : dispatcher_(aDispatcher)
@@ -60,6 +76,7 @@
   }
   WriteShareLevels(decisions - lastDecisionCount_);
   WriteEnginePace();
+  WritePromptPacing();
   lastWriteTime_ = aNow;
   lastDecisionCount_ = decisions;
 }
--- a/src/process/placement/placement_state_log.h
+++ b/src/process/placement/placement_state_log.h
@@ -23,6 +23,7 @@
 
   auto WriteShareLevels(std::int64_t aDecisions) -> void;
   auto WriteEnginePace() -> void;
+  auto WritePromptPacing() -> void;
 
 public:
   PlacementStateLog(const Dispatcher* aDispatcher, EventLog* aLog);
--- a/src/process/placement/placement_wire.cpp
+++ b/src/process/placement/placement_wire.cpp
@@ -52,6 +52,9 @@
   ask.aimMicros = aItem.latencyObjective_.count();
   ask.waitedMicros = (aNow - aItem.arrival_).count();
   ask.patienceMicros = (aItem.deadline_ - aNow).count();
+  if (aItem.maxEventGap_ > 0us) {
+    ask.__set_maxGapMicros(aItem.maxEventGap_.count());
+  }
   ask.goesOn = aItem.isContinuation_;
   ask.promptTokens = aItem.promptTokens_;
   ask.outputTokens = aItem.outputTokens_;
@@ -81,6 +84,10 @@
   item.latencyObjective_ = ClampedDuration(aAsk.aimMicros);
   item.arrival_ = aNow - ClampedDuration(aAsk.waitedMicros);
   item.deadline_ = aNow + ClampedDuration(aAsk.patienceMicros);
+  if (aAsk.__isset.maxGapMicros) {
+    item.maxEventGap_ =
+      std::max<Duration>(ClampedDuration(aAsk.maxGapMicros), 0us);
+  }
   item.isContinuation_ = aAsk.goesOn;
   item.promptTokens_ = ClampedTokens(aAsk.promptTokens);
   item.outputTokens_ = ClampedTokens(aAsk.outputTokens);
--- a/src/process/placement/target_selector.cpp
+++ b/src/process/placement/target_selector.cpp
@@ -211,6 +211,14 @@
     (candidate.backlog_ == 0us || !aLimits.maxWait_ ||
      candidate.wait_ <= *aLimits.maxWait_) &&
     total.running_ < aLimits.maxSlotUtilization_ * slots;
+  if (aLimits.pacing_) {
+    const auto excess =
+      aLimits.pacing_->Excess(candidate.target_, load, prefill, aNow);
+    candidate.isWithinLimits_ =
+      candidate.isWithinLimits_ && prefill <= aLimits.pacing_->maxTokens_ &&
+      (excess == 0us || aLimits.pacing_->allowsExcess_);
+    candidate.cost_ += excess * kExcessCost;
+  }
   return candidate;
 }
 
--- a/src/process/placement/target_selector.h
+++ b/src/process/placement/target_selector.h
@@ -3,6 +3,7 @@
 
 #include "process/placement/policy.h"
 #include "process/placement/prefill_estimator.h"
+#include "process/placement/prompt_pacer.h"
 #include "process/placement/target_directory.h"
 #include "process/placement/target_load.h"
 #include "request/request_metadata.h"
@@ -21,6 +22,9 @@
   ServiceId service_;
   Instant arrival_{};
   Duration latencyObjective_{};
+  /// Longest gap between two events with which a stream is on time; zero if it
+  /// has no limit.
+  Duration maxEventGap_{};
   Instant deadline_{};
   /// Whether the request resumes a stream that has already begun.
   bool isContinuation_ = false;
@@ -54,6 +58,8 @@
   Duration minLatencyObjective_{};
   /// Prefill speed of the service's targets.
   PrefillEstimator prefill_;
+  /// Set if only engines with room for the prompt may be used.
+  std::optional<PromptPacing> pacing_;
 };
 
 /// An evaluated target for a request.
@@ -98,6 +104,10 @@
   /// Cost of prefilling a shared token that another engine has cached, as a
   /// multiple of its prefill time.
   static constexpr double kRecomputeCost = 3.6;
+  /// Cost of reading beyond the allowance of an engine's streams, as a multiple
+  /// of its time. Each stream there may be late by it, so it outweighs the time
+  /// to read the whole prompt elsewhere.
+  static constexpr int kExcessCost = 20;
   /// Number of engines preferred for a shared prefix. They are used in rank
   /// order as far as they have capacity, so that all routers agree on the next
   /// one.
--- a/src/version/route_table.cpp
+++ b/src/version/route_table.cpp
@@ -133,21 +133,25 @@
   return *this;
 }
 
-auto RouteTableBuilder::ComputeMinLatencyObjectives(
+auto RouteTableBuilder::ComputeStreamLimits(
   const std::vector<RouteObject>& aRoutes) -> void
 {
+  // Zero stands for no limit.
+  const auto shorten = [](Duration aLimit, Duration* aShortest) {
+    if (aLimit > 0us) {
+      *aShortest = *aShortest == 0us ? aLimit : std::min(*aShortest, aLimit);
+    }
+  };
   for (const auto& route : aRoutes) {
-    if (route.kind_ != RouteKind::kStream || route.latencyObjective_ <= 0us) {
+    if (route.kind_ != RouteKind::kStream) {
       continue;
     }
     for (const auto& share : route.shares_) {
       const auto service = table_.services_.find(share.service_);
-      if (service == table_.services_.end()) {
-        continue;
+      if (service != table_.services_.end()) {
+        shorten(route.latencyObjective_, &service->second.minLatencyObjective_);
+        shorten(route.maxEventGap_, &service->second.minEventGapLimit_);
       }
-      auto& shortest = service->second.minLatencyObjective_;
-      shortest = shortest == 0us ? route.latencyObjective_
-                                 : std::min(shortest, route.latencyObjective_);
     }
   }
 }
@@ -155,7 +159,7 @@
 auto RouteTableBuilder::Build() -> RouteTablePointer
 {
   for (auto& entry : table_.routes_) {
-    ComputeMinLatencyObjectives(entry.second);
+    ComputeStreamLimits(entry.second);
     std::stable_sort(entry.second.begin(), entry.second.end(),
                      [](const RouteObject& aLeft, const RouteObject& aRight) {
                        return aLeft.prefix_.size() > aRight.prefix_.size();
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -72,6 +72,9 @@
   double copyMsPerToken_ = 0;
   /// Shortest latency objective of its stream routes; zero if there is none.
   Duration minLatencyObjective_{};
+  /// Shortest limit of the gap between two events of its stream routes; zero if
+  /// none has one.
+  Duration minEventGapLimit_{};
 };
 
 struct RoutedAccount
@@ -137,9 +140,9 @@
 {
   RouteTable table_;
 
-  /// Sets the shortest latency objective of each service of these routes.
-  auto ComputeMinLatencyObjectives(const std::vector<RouteObject>& aRoutes)
-    -> void;
+  /// Sets the shortest latency objective and the shortest gap limit of each
+  /// service of these routes.
+  auto ComputeStreamLimits(const std::vector<RouteObject>& aRoutes) -> void;
 
 public:
   explicit RouteTableBuilder(std::int64_t aVersion);
