--- a/src/process/placement/cold_targets.h
+++ b/src/process/placement/cold_targets.h
@@ -18,7 +18,7 @@
 /// breaks off requests also counts as cold: it may have restarted. It stays so
 /// until the time to warm up has passed since the first success after that.
 ///
-/// Routers tell each other which targets they take for cold, as each sees only
+/// Routers tell each other which targets they consider cold, as each sees only
 /// its own requests. A router that has just started knows nothing: all targets
 /// count as cold until a peer has sent its whole list, or for as long as a
 /// target may stay cold.
