Limits of a message's framing follow from the limit of its header

A request with 1,000 short header fields, 7 KB in all, got 431, as fields were limited to 256; trailers were limited to 8,192 bytes. Both keep out requests within the configured limits, which a new limit must not. Fields are as many as fit the header now, and trailers and framing have its length; their memory counts against the budget as before. The new test failed with 431 on the program before; all 15 memory tests pass.

--- a/src/connection/caller_connection.cpp
+++ b/src/connection/caller_connection.cpp
@@ -28,15 +28,12 @@
 constexpr Duration kLingerTime = 1s;
 /// Longest time without an acknowledgement from the caller's side.
 constexpr Duration kUserTimeout = 5s;
-/// Limits that 16,384 bytes of header do not imply: short fields take ten times
-/// their bytes in memory, and framing is not limited by the body's length. A
-/// body in chunks of one byte, which is within the limits, has five bytes of
+/// Bytes of the shortest header field, with its line end.
+constexpr std::size_t kShortestField = 4;
+constexpr std::size_t kMaxChunkHeader = 1024;
+/// A body in chunks of one byte, which is within the limits, has five bytes of
 /// framing for each.
-constexpr FramingLimits kFramingLimits{ .fields_ = 256,
-                                        .chunkHeaderBytes_ = 1024,
-                                        .trailerBytes_ = 8192,
-                                        .framingSlack_ = 16'384,
-                                        .framingRatio_ = 8 };
+constexpr std::size_t kFramingRatio = 8;
 /// Part of the body limit that must come within the idle timeout. All of a body
 /// within one timeout makes progress, however small it is.
 constexpr std::size_t kProgressPart = 16;
@@ -56,6 +53,18 @@
   return kBadRequest;
 }
 
+/// Limits on what the limit of the header does not bound. None of them is met
+/// by a request within the configured limits: fields are as many as fit a
+/// header, and trailers may be as long as one.
+auto FramingLimitsFor(const CallerLimits& aLimits) -> FramingLimits
+{
+  return { .fields_ = aLimits.headerBytes_ / kShortestField,
+           .chunkHeaderBytes_ = kMaxChunkHeader,
+           .trailerBytes_ = aLimits.headerBytes_,
+           .framingSlack_ = aLimits.headerBytes_,
+           .framingRatio_ = kFramingRatio };
+}
+
 } // namespace
 
 auto CallerConnection::Read() -> void
@@ -189,7 +198,7 @@
     if (!reader_) {
       const auto limits = port_->Limits();
       reader_.emplace(limits.headerBytes_, limits.bodyBytes_);
-      reader_->SetLimits(kFramingLimits);
+      reader_->SetLimits(FramingLimitsFor(limits));
       requestSince_ = BootNow();
       progressSince_ = *requestSince_;
       lastByte_ = *requestSince_;
--- a/tests/main/bounded_memory_test.cpp
+++ b/tests/main/bounded_memory_test.cpp
@@ -436,6 +436,22 @@
   }
 }
 
+// Guards against a limit on the number of fields that a header within its own
+// limit meets.
+TEST_F(LargestRequestTest, HeaderOfManyShortFieldsIsServed)
+{
+  constexpr int kFields = 1000;
+  std::string fields;
+  for (int i = 0; i < kFields; ++i) {
+    fields += "f" + std::to_string(i) + ": 1\r\n";
+  }
+  EXPECT_EQ(
+    Status(SendRaw(kCallerPort, "POST /once/x HTTP/1.1\r\nHost: h\r\n"
+                                "X-Attempt-Id: a3\r\nConnection: close\r\n" +
+                                  fields + "Content-Length: 1\r\n\r\nx")),
+    "200");
+}
+
 // Guards against a limit on framing that keeps out small chunks, which no
 // documented limit forbids.
 TEST_F(LargestRequestTest, BodyInChunksOfOneByteIsServed)
