--- a/review/support-2/deadly_part.cpp
+++ b/review/support-2/deadly_part.cpp
@@ -1,5 +1,8 @@
 // A part of prompts crashes each server that begins to write an answer on it.
-// Usage: deadly_part FOLDER
+// Usage: deadly_part FOLDER late|killed
+// late: the servers crash far into the answer; TROUBLE=0: the part is harmless.
+// killed: they crash soon, and all routers are killed at once; TROUBLE=0: they
+// are not killed.
 // FOLDER gets record.txt. Exit code: 1 the rule was broken, 0 it held, 2 the
 // case could not run.
 #include "harness.h"
@@ -19,9 +22,15 @@
 constexpr double kSoundPauseS = 0.1;
 constexpr double kDownS = 3.0;
 constexpr double kLengthS = 42.0;
+/// With a kill: until then, and from there to the end.
+constexpr double kUntilKillS = 24.0;
+constexpr double kAfterKillS = 32.0;
 /// After its first event, a server with the part sends so many more, one each
 /// pause, and crashes.
-constexpr int kEventsUntilCrash = 15;
+constexpr int kEventsLate = 15;
+constexpr int kEventsSoon = 2;
+int gEventsUntilCrash = kEventsLate;
+bool gIsDeadly = true;
 constexpr double kEventPauseS = 0.1;
 /// The bound of the rule.
 constexpr int kMostAfterwards = 3;
@@ -97,7 +106,7 @@
       const auto id = FieldOf(request->head_, "X-Attempt-Id");
       const auto parts = FieldOf(request->head_, "X-Prompt-Prefix");
       const bool isDeadly = parts.find("dead0001:") != std::string::npos;
-      const bool crashes = isDeadly && HasTrouble();
+      const bool crashes = isDeadly && gIsDeadly;
       {
         const std::lock_guard lock(log_->mutex_);
         if (isDeadly) {
@@ -126,7 +135,7 @@
                      event(next));
       if (crashes) {
         // Events go on until the server crashes.
-        for (int i = 1; i <= kEventsUntilCrash; ++i) {
+        for (int i = 1; i <= gEventsUntilCrash; ++i) {
           Pause(kEventPauseS);
           if (!SendAll(aFd, event(next + i))) {
             return;
@@ -211,10 +220,14 @@
   }
 };
 
-auto Run(const std::string& aFolder, const std::string& aTemporary) -> int
+auto Run(const std::string& aFolder,
+         const std::string& aTemporary,
+         bool aIsLate) -> int
 {
   Record record(aFolder + "/record.txt");
   const bool trouble = HasTrouble();
+  gIsDeadly = trouble || !aIsLate;
+  gEventsUntilCrash = aIsLate ? kEventsLate : kEventsSoon;
   record.Line(trouble ? "with the trouble" : "without the trouble");
   Store store(&record);
   Log log;
@@ -311,7 +324,29 @@
       thread.join();
     }
   });
-  Pause(kLengthS);
+  // In these times the routers are not in touch.
+  double killedAt = 0;
+  double inTouchAgain = 0;
+  Pause(aIsLate ? kLengthS : kUntilKillS);
+  if (!aIsLate && trouble) {
+    killedAt = SecondsSince(log.start_);
+    for (const auto& router : routers) {
+      router->Signal(SIGKILL);
+    }
+    for (const auto& router : routers) {
+      router->Kill();
+    }
+    Pause(0.5);
+    for (const auto& router : routers) {
+      router->Start();
+    }
+    for (const auto& router : routers) {
+      router->WaitReady(10.0);
+    }
+    inTouchAgain = SecondsSince(log.start_) + kStableS;
+    record.Line("all routers are ready again");
+  }
+  Pause(aIsLate ? 0.0 : kAfterKillS);
   isOver = true;
   sound.join();
   deadly.join();
@@ -319,7 +354,8 @@
   int afterwards = 0;
   if (log.crashes_.size() >= 5) {
     for (const double at : log.arrivals_) {
-      afterwards += at > log.crashes_[4] + kStableS ? 1 : 0;
+      const bool isInTouch = at < killedAt || at >= inTouchAgain;
+      afterwards += at > log.crashes_[4] + kStableS && isInTouch ? 1 : 0;
     }
   }
   record.Line(std::to_string(log.crashes_.size()) + " crashes, " +
@@ -328,7 +364,7 @@
               std::to_string(afterwards) +
               " of them later than the rule allows; " +
               std::to_string(soundWhole.load()) + " sound ones served");
-  if ((trouble && log.crashes_.size() < 3) || soundWhole < 50) {
+  if ((gIsDeadly && log.crashes_.size() < 3) || soundWhole < 50) {
     return 2;
   }
   return afterwards > kMostAfterwards ? 1 : 0;
@@ -339,14 +375,15 @@
 auto main(int aCount, char** aArguments) -> int
 {
   signal(SIGPIPE, SIG_IGN);
-  if (aCount != 2) {
+  const std::string way = aCount == 3 ? aArguments[2] : "";
+  if (way != "late" && way != "killed") {
     return 2;
   }
   char temporary[] = "/tmp/review-XXXXXX";
   if (mkdtemp(temporary) == nullptr) {
     return 2;
   }
-  const int code = Run(aArguments[1], temporary);
+  const int code = Run(aArguments[1], temporary, way == "late");
   std::filesystem::remove_all(temporary);
   return code;
 }
--- a/review/support-2/harness.h
+++ b/review/support-2/harness.h
@@ -93,28 +93,34 @@
   return ntohs(address.sin_port);
 }
 
-/// A port that is free now, with the next ones free too, below the range that
-/// the system gives out by itself.
+/// The first of aCount ports (20 at most) that are free, below the range that
+/// the system gives out by itself. The port before them stays taken while this
+/// process lives, so that another one that runs beside it takes other ports.
 inline auto FreePorts(int aCount) -> int
 {
-  static int next = 12000 + static_cast<int>(getpid() % 700) * 20;
+  constexpr int kFirst = 12000;
+  constexpr int kBlock = 24;
+  constexpr int kBlocks = 750;
+  static int block = static_cast<int>(getpid()) % kBlocks;
   for (;;) {
-    const int first = next;
-    next += aCount;
-    if (next > 30000) {
-      next = 12000;
+    const int guard = kFirst + block * kBlock;
+    block = (block + 1) % kBlocks;
+    const int taken = ListenOn(guard);
+    if (taken < 0) {
+      continue;
     }
     bool free = true;
-    for (int i = 0; i < aCount && free; ++i) {
-      const int fd = ListenOn(first + i);
+    for (int i = 1; i <= aCount && free; ++i) {
+      const int fd = ListenOn(guard + i);
       free = fd >= 0;
       if (fd >= 0) {
         close(fd);
       }
     }
     if (free) {
-      return first;
+      return guard + 1;
     }
+    close(taken);
   }
 }
 
