--- a/review/support-2/deadly_part.cpp
+++ b/review/support-2/deadly_part.cpp
@@ -17,14 +17,16 @@
 constexpr int kRouters = 2;
 /// stableWindowMs of the site.
 constexpr double kStableS = 3.0;
-/// A request with the part comes so often, at the routers in turn.
-constexpr double kDeadlyPauseS = 4.0;
+/// A request with the part comes so often, at the routers in turn, and for so
+/// long: the pages' own day has 22 s.
+constexpr double kDeadlyPauseLateS = 2.1;
+constexpr double kDeadlyPauseKilledS = 4.2;
+constexpr double kDeadlyForS = 22.0;
 constexpr double kSoundPauseS = 0.1;
 constexpr double kDownS = 3.0;
-constexpr double kLengthS = 42.0;
-/// With a kill: until then, and from there to the end.
-constexpr double kUntilKillS = 24.0;
-constexpr double kAfterKillS = 32.0;
+/// From the first request with the part to the kill, and to the end.
+constexpr double kKillAtS = 12.7;
+constexpr double kLengthS = 27.0;
 /// After its first event, a server with the part sends so many more, one each
 /// pause, and crashes.
 constexpr int kEventsLate = 15;
@@ -128,11 +130,12 @@
       const auto last = FieldOf(request->head_, "Last-Event-Id");
       const int next = last.empty() ? 1 : std::stoi(last) + 1;
       Pause(0.02);
-      SendAll(aFd, "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id +
-                     "\r\nX-Response-Stamp: s." + id +
-                     "\r\nContent-Type: text/event-stream\r\n"
-                     "Transfer-Encoding: chunked\r\n\r\n" +
-                     event(next));
+      SendAll(
+        aFd, "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id +
+               "\r\nX-Response-Stamp: s." + id +
+               "\r\nX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n" +
+               event(next));
       if (crashes) {
         // Events go on until the server crashes.
         for (int i = 1; i <= gEventsUntilCrash; ++i) {
@@ -304,9 +307,14 @@
       thread.join();
     }
   });
+  const double pause = aIsLate ? kDeadlyPauseLateS : kDeadlyPauseKilledS;
+  const auto begin = SteadyClock::now();
   std::thread deadly([&] {
     std::vector<std::thread> asking;
-    for (int i = 0; !isOver; ++i) {
+    for (int i = 0; i * pause < kDeadlyForS; ++i) {
+      std::this_thread::sleep_until(
+        begin + std::chrono::duration_cast<SteadyClock::duration>(
+                  std::chrono::duration<double>(i * pause)));
       asking.emplace_back([&, i] {
         char parts[96];
         // No two alike.
@@ -316,9 +324,6 @@
         const auto status = ask(i % kRouters, id, parts);
         record.Line("client: " + id + " with the part gets " + status);
       });
-      for (double left = kDeadlyPauseS; left > 0 && !isOver; left -= 0.1) {
-        Pause(0.1);
-      }
     }
     for (auto& thread : asking) {
       thread.join();
@@ -327,7 +332,7 @@
   // In these times the routers are not in touch.
   double killedAt = 0;
   double inTouchAgain = 0;
-  Pause(aIsLate ? kLengthS : kUntilKillS);
+  Pause(aIsLate ? 0.0 : kKillAtS);
   if (!aIsLate && trouble) {
     killedAt = SecondsSince(log.start_);
     for (const auto& router : routers) {
@@ -336,7 +341,7 @@
     for (const auto& router : routers) {
       router->Kill();
     }
-    Pause(0.5);
+    Pause(0.3);
     for (const auto& router : routers) {
       router->Start();
     }
@@ -346,7 +351,7 @@
     inTouchAgain = SecondsSince(log.start_) + kStableS;
     record.Line("all routers are ready again");
   }
-  Pause(aIsLate ? 0.0 : kAfterKillS);
+  Pause(kLengthS - SecondsSince(begin));
   isOver = true;
   sound.join();
   deadly.join();
--- a/review/support-2/failed_after_run.cpp
+++ b/review/support-2/failed_after_run.cpp
@@ -16,6 +16,8 @@
 constexpr int kBookings = 120;
 /// Of ten requests at the first server, so many fail: share 0.25, x 0.4.
 constexpr int kFailedOfTen = 4;
+/// The site file has 6.5 s.
+constexpr double kFailsForS = 6.5;
 
 /// What the servers did, by the request's id and by the booking in its body.
 class Book
@@ -62,6 +64,7 @@
   Store store(&record);
   Book book;
   std::atomic<int> arrivals{ 0 };
+  const auto begin = SteadyClock::now();
   std::vector<std::unique_ptr<Listener>> servers;
   for (int i = 0; i < kServers; ++i) {
     servers.push_back(std::make_unique<Listener>([&, i](int aFd) {
@@ -70,8 +73,9 @@
         const auto id = FieldOf(request->head_, "X-Attempt-Id");
         book.Run(id, request->body_);
         Pause(0.015);
-        const bool fails =
-          trouble && i == 0 && arrivals.fetch_add(1) % 10 < kFailedOfTen;
+        const std::chrono::duration<double> passed = SteadyClock::now() - begin;
+        const bool fails = trouble && i == 0 && passed.count() < kFailsForS &&
+                           arrivals.fetch_add(1) % 10 < kFailedOfTen;
         record.Line("server i-" + std::to_string(i) + ": ran " + id + " (" +
                     request->body_ + "), answers " + (fails ? "503" : "200"));
         const std::string body = fails ? "no database" : "booked";
--- a/review/support-2/harness.h
+++ b/review/support-2/harness.h
@@ -465,6 +465,8 @@
   int ready_;
   int control_;
   int inner_;
+  int storePort_;
+  bool isFirst_ = true;
 
 public:
   Router(Record* aRecord,
@@ -481,6 +483,13 @@
     , ready_(front_ + 1)
     , control_(front_ + 2)
     , inner_(front_ + 4)
+    , storePort_(aStorePort)
+  {
+  }
+
+  ~Router() { Kill(); }
+
+  auto WriteSettings(bool aIsFirst) const -> void
   {
     const auto at = [](int aPort) {
       return "\"127.0.0.1:" + std::to_string(aPort) + "\"";
@@ -493,7 +502,8 @@
       << "\":\"r\"},\"bind\":{\"front\":" << at(front_)
       << ",\"ready\":" << at(ready_) << ",\"control\":" << at(control_)
       << "},\"internalPorts\":[" << inner_ << "," << inner_ + 15
-      << "],\"seedNodes\":[],\"firstStart\":true,\"faultCounted\":false,"
+      << "],\"seedNodes\":[],\"firstStart\":" << (aIsFirst ? "true" : "false")
+      << ",\"faultCounted\":false,"
       << "\"limits\":{\"cpuShare\":0.25,\"cores\":1,\"memoryMb\":260,"
       << "\"maxFds\":4100,\"linkMbps\":1000.0,\"diskMb\":0},\"dataDir\":null,"
       << "\"discovery\":\"platform\",\"entry\":\"vip\",\"heartbeatMs\":1200,"
@@ -504,14 +514,13 @@
       << "\"failClosed\":true,\"revokeMs\":5000,\"budgetRatio\":0.2,"
       << "\"budgetWindowS\":10,\"budgetSlack\":56,\"recoverS\":12,"
       << "\"passMs\":120,\"againS\":10,\"quotaWindowS\":4},"
-      << "\"platform\":{\"address\":" << at(aStorePort)
+      << "\"platform\":{\"address\":" << at(storePort_)
       << ",\"form\":\"log\",\"writesPerS\":400,\"readsPerS\":2000}}";
   }
 
-  ~Router() { Kill(); }
-
   auto Start() -> bool
   {
+    WriteSettings(std::exchange(isFirst_, false));
     const std::string variable = "BURDOCKRING_SETTINGS=" + settings_;
     pid_ = fork();
     if (pid_ == 0) {
