REFUSED: a target's own 408, 429 or 503 is no promise for unsafe work

Cause: Exchange::OnHead knew two refusals, the stated one and 421. Every other signed answer passed with its status, also one that denies a run.

Change: on routes whose requests must not run twice, an answer with 408, 429 or 503 that states nothing is read to its end and replaced by 502 target_error, unsigned and without Retry-After. Stated refusals, 421, other errors and answers to retryable requests are as before. A log line (answer_withheld) and a counter name the target and its status. The name of a target in log lines comes from one function now; it stood in three places.

Why it works: 502 says no more than is known, and no path is left on which a status that denies a run reaches the caller of such a request unstated.

--- a/src/connection/exchange.cpp
+++ b/src/connection/exchange.cpp
@@ -193,29 +193,53 @@
   port_->Node().OnResponseStarted(id_, attempt_, BootNow());
 }
 
-auto Exchange::Fail(std::string_view aCause) -> void
+auto Exchange::CloseTarget() -> void
 {
   if (connection_) {
     connection_->Cancel();
     connection_.reset();
   }
+}
+
+auto Exchange::Fail(std::string_view aCause) -> void
+{
+  CloseTarget();
   mode_ = Mode::kNone;
   port_->Node().OnAttemptFailed(id_, attempt_, AttemptStage::kInvalidResponse,
                                 aCause, BootNow());
   port_->Settle();
 }
 
-auto Exchange::EndRefusal() -> void
+auto Exchange::Discard(std::size_t aBytes) -> void
 {
-  if (connection_) {
-    connection_->Cancel();
-    connection_.reset();
+  discardedBytes_ += aBytes;
+  if (discardedBytes_ <= kMaxDiscarded) {
+    return;
+  }
+  // The status is known, so the rest of the body is not needed.
+  if (mode_ == Mode::kRefused) {
+    EndRefusal();
+  } else {
+    EndWithheld();
   }
+}
+
+auto Exchange::EndRefusal() -> void
+{
+  CloseTarget();
   mode_ = Mode::kNone;
   port_->Node().OnAttemptRefused(id_, attempt_, BootNow());
   port_->Settle();
 }
 
+auto Exchange::EndWithheld() -> void
+{
+  CloseTarget();
+  mode_ = Mode::kNone;
+  port_->Node().OnResponseWithheld(id_, attempt_, answer_.status_, BootNow());
+  port_->Settle();
+}
+
 auto Exchange::RecordTiming(int aStatus, bool aWhole) -> void
 {
   const auto now = BootNow();
@@ -261,6 +285,7 @@
   if (const auto* route = node.RouteOf(id_)) {
     route_ = route->name_;
     isStream_ = route->kind_ == RouteKind::kStream;
+    isRetryable_ = route->IsRetryable();
   }
   account_ = node.AccountOf(id_);
   port_->Settle();
@@ -271,7 +296,7 @@
   attempt_ = aEffect.attempt_;
   mode_ = Mode::kNone;
   gathered_.clear();
-  refusalBytes_ = 0;
+  discardedBytes_ = 0;
   resumedAfter_ = begun_ ? aEffect.lastEvent_ : std::nullopt;
   events_.DropRest();
   connection_ = port_->Targets().Send(aEffect, RequestHead(aEffect), body_,
@@ -280,10 +305,7 @@
 
 auto Exchange::Apply(const AbortAttempt& /*aEffect*/) -> void
 {
-  if (connection_) {
-    connection_->Cancel();
-    connection_.reset();
-  }
+  CloseTarget();
 }
 
 auto Exchange::Apply(const FailRequest& aEffect) -> void
@@ -320,10 +342,7 @@
   }
   done_ = true;
   // Closing the connection makes the target stop.
-  if (connection_) {
-    connection_->Cancel();
-    connection_.reset();
-  }
+  CloseTarget();
   port_->Node().OnCallerDisconnected(id_, BootNow());
   port_->Release(id_);
   port_->Settle();
@@ -378,6 +397,10 @@
     answer_ = aHead;
   }
   port_->Node().OnResponseHead(id_, attempt_, BootNow());
+  if (facts.impliesNotRun_ && !isRetryable_) {
+    mode_ = Mode::kWithheld;
+    return true;
+  }
   mode_ =
     !isStream_ || !IsSuccess(aHead.status_) ? Mode::kGather : Mode::kEvents;
   return true;
@@ -399,11 +422,8 @@
     case Mode::kNone:
       return;
     case Mode::kRefused:
-      refusalBytes_ += aBody.size();
-      if (refusalBytes_ > kMaxRefusal) {
-        // The status is known, so the rest of the body is not needed.
-        EndRefusal();
-      }
+    case Mode::kWithheld:
+      Discard(aBody.size());
       return;
     case Mode::kGather:
       gathered_ += aBody;
@@ -450,6 +470,10 @@
     EndRefusal();
     return;
   }
+  if (mode_ == Mode::kWithheld) {
+    EndWithheld();
+    return;
+  }
   auto& node = port_->Node();
   if (mode_ == Mode::kEvents && events_.IsInsideEvent()) {
     // The target broke off, even if the message was framed correctly.
--- a/src/connection/exchange.h
+++ b/src/connection/exchange.h
@@ -81,14 +81,16 @@
   static constexpr std::size_t kMaxGathered = 256U << 10U;
   /// The same while memory is short.
   static constexpr std::size_t kMaxGatheredUnderPressure = 16U << 10U;
-  /// Maximum size of a refusal's body that is read.
-  static constexpr std::size_t kMaxRefusal = 64U << 10U;
+  /// Maximum size that is read of a body that is not forwarded.
+  static constexpr std::size_t kMaxDiscarded = 64U << 10U;
 
   enum class Mode
   {
     /// No answer yet, or one that is not forwarded.
     kNone,
     kRefused,
+    /// Read to its end and replaced, as its status would be untrue.
+    kWithheld,
     kGather,
     kEvents,
     kBytes,
@@ -108,7 +110,7 @@
   Mode mode_ = Mode::kNone;
   MessageHead answer_;
   std::string gathered_;
-  std::size_t refusalBytes_ = 0;
+  std::size_t discardedBytes_ = 0;
   EventSplitter events_;
   /// Last event before the attempt, until the first of a resumed stream comes.
   std::optional<std::uint64_t> resumedAfter_;
@@ -120,6 +122,8 @@
   std::string account_;
   std::string route_;
   bool isStream_ = false;
+  /// Whether the request may run more than once.
+  bool isRetryable_ = false;
 
   /// The head of the request to the target.
   [[nodiscard]] auto RequestHead(const SendAttempt& aAttempt) const
@@ -137,8 +141,14 @@
   [[nodiscard]] auto IsInOrder(std::string_view aEvents) const -> bool;
   auto NoteFirstByte() -> void;
   auto Fail(std::string_view aCause) -> void;
-  /// The target did not run the request. Closes its connection.
+  /// Drops the body of an answer that is not forwarded.
+  auto Discard(std::size_t aBytes) -> void;
+  /// Closes the connection if the answer has not been read to its end.
+  auto CloseTarget() -> void;
+  /// The target did not run the request.
   auto EndRefusal() -> void;
+  /// The target may have run the request, but its status denies that.
+  auto EndWithheld() -> void;
   auto RecordTiming(int aStatus, bool aWhole) -> void;
 
 public:
--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -423,6 +423,7 @@
   add("attempts_lost_before_answer_total", counters.lostBeforeAnswer_);
   add("attempts_lost_in_answer_total", counters.lostInAnswer_);
   add("attempts_unsent_total", counters.unsentFailures_);
+  add("answers_withheld_total", counters.withheldAnswers_);
   add("quarantined_requests_total", counters.quarantinedRequests_);
   const auto& quarantine = node_.Quarantine();
   add("quarantines", static_cast<std::int64_t>(quarantine.Count()));
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -49,6 +49,13 @@
   return found == requests_.end() ? nullptr : found->second.get();
 }
 
+auto ForwardingNode::TargetName(TargetId aTarget) const -> std::string_view
+{
+  const auto* target = directory_.Find(aTarget);
+  return target == nullptr ? std::string_view("unlisted")
+                           : std::string_view(target->instance_);
+}
+
 auto ForwardingNode::ReportEventGaps(const Request& aRequest) -> void
 {
   const auto& gaps = aRequest.gaps_;
@@ -61,19 +68,16 @@
   if (route.maxEventGap_ == 0us) {
     return;
   }
-  const auto* target = directory_.Find(aRequest.target_);
-  log_->Write(
-    "stream_ended",
-    { { "request", aRequest.arrival_.facts_.attemptId_ },
-      { "route", route.name_ },
-      { "target", target == nullptr ? std::string_view("unlisted")
-                                    : std::string_view(target->instance_) },
-      { "gaps", gaps.GapCount() },
-      { "longest_gap_ms", ToMillis(gaps.Longest()) },
-      { "gap_limit_ms", ToMillis(route.maxEventGap_) },
-      { "over_limit",
-        std::int64_t{ gaps.Longest() > route.maxEventGap_ ? 1 : 0 } },
-      { "version", aRequest.table_->Version() } });
+  log_->Write("stream_ended",
+              { { "request", aRequest.arrival_.facts_.attemptId_ },
+                { "route", route.name_ },
+                { "target", TargetName(aRequest.target_) },
+                { "gaps", gaps.GapCount() },
+                { "longest_gap_ms", ToMillis(gaps.Longest()) },
+                { "gap_limit_ms", ToMillis(route.maxEventGap_) },
+                { "over_limit",
+                  std::int64_t{ gaps.Longest() > route.maxEventGap_ ? 1 : 0 } },
+                { "version", aRequest.table_->Version() } });
 }
 
 auto ForwardingNode::Erase(const Request& aRequest) -> void
@@ -523,14 +527,12 @@
                                       bool aRetries,
                                       Instant aNow) -> void
 {
-  const auto* target = directory_.Find(aRequest.target_);
   const auto parts = PartIdsText(aRequest.sharedParts_);
   log_->Write(
     aRetries ? "retried" : "attempt_failed",
     { { "request", aRequest.arrival_.facts_.attemptId_ },
       { "cause", aCause },
-      { "target", target == nullptr ? std::string_view("unlisted")
-                                    : std::string_view(target->instance_) },
+      { "target", TargetName(aRequest.target_) },
       { "sent", std::int64_t{ IsUnsent(aStage) ? 0 : 1 } },
       { "began", std::int64_t{ aRequest.attemptBegan_ ? 1 : 0 } },
       { "answer_ms", ToMillis(AnswerAge(aRequest, aNow).value_or(0us)) },
@@ -757,6 +759,27 @@
   Erase(*request);
 }
 
+auto ForwardingNode::OnResponseWithheld(RequestId aRequest,
+                                        int aAttempt,
+                                        int aStatus,
+                                        Instant aNow) -> void
+{
+  auto* request = Find(aRequest);
+  if (request == nullptr || request->attempt_ != aAttempt) {
+    return;
+  }
+  ++counters_.withheldAnswers_;
+  placements_.OnRunEnd(aRequest, RunOutcome::kTargetError, aNow);
+  request->attemptActive_ = false;
+  log_->Write("answer_withheld",
+              { { "request", request->arrival_.facts_.attemptId_ },
+                { "target", TargetName(request->target_) },
+                { "target_status", std::int64_t{ aStatus } },
+                { "route", request->route_->name_ },
+                { "account", request->account_ } });
+  GiveUp(request, 0us, "target_error");
+}
+
 auto ForwardingNode::OnTargetNotice(RequestId aRequest,
                                     int aAttempt,
                                     const TargetNotice& aNotice,
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -93,6 +93,9 @@
   std::int64_t overloadRejections_ = 0;
   /// Placements on a target that this router knows to be unavailable.
   std::int64_t misplaced_ = 0;
+  /// Answers of targets replaced by an error, as their status would have told
+  /// the caller of a request that may have run that it did not.
+  std::int64_t withheldAnswers_ = 0;
   /// Requests ended because a part of their prompt crashes targets.
   std::int64_t quarantinedRequests_ = 0;
 };
@@ -166,6 +169,8 @@
   std::optional<Instant> exitAt_;
 
   auto Find(RequestId aRequest) -> Request*;
+  /// Instance name of the target, for log lines.
+  [[nodiscard]] auto TargetName(TargetId aTarget) const -> std::string_view;
   auto Erase(const Request& aRequest) -> void;
   /// Reports the gaps between the events of a stream that ends.
   auto ReportEventGaps(const Request& aRequest) -> void;
@@ -281,6 +286,12 @@
                           int aAttempt,
                           bool aSuccess,
                           Instant aNow) -> void;
+  /// The target answered with a status that denies a run, without stating that
+  /// it did not run the request. The caller must not take it for a promise.
+  auto OnResponseWithheld(RequestId aRequest,
+                          int aAttempt,
+                          int aStatus,
+                          Instant aNow) -> void;
   /// The attempt's target announced that it is leaving or wants a pause.
   auto OnTargetNotice(RequestId aRequest,
                       int aAttempt,
--- a/src/request/request_metadata.h
+++ b/src/request/request_metadata.h
@@ -57,6 +57,8 @@
   bool notRun_ = false;
   /// Whether the address now belongs to another target.
   bool isFromOtherTarget_ = false;
+  /// Whether the status tells a caller that the request did not run.
+  bool impliesNotRun_ = false;
   /// Whether the body has a content encoding, which targets never use.
   bool isEncoded_ = false;
   TargetNotice notice_;
--- a/tests/platform/header_adapter_test.cpp
+++ b/tests/platform/header_adapter_test.cpp
@@ -99,6 +99,18 @@
     adapter.ReadAnswer(200, { { "Content-Encoding", "gzip" } }).isEncoded_);
 }
 
+// A caller repeats unsafe work after these, so they must be true.
+TEST(HeaderAdapter, KnowsStatusesThatDenyARun)
+{
+  const HeaderAdapter adapter;
+  for (const int status : { 408, 421, 429, 503 }) {
+    EXPECT_TRUE(adapter.ReadAnswer(status, {}).impliesNotRun_) << status;
+  }
+  for (const int status : { 200, 400, 409, 425, 500, 502, 504 }) {
+    EXPECT_FALSE(adapter.ReadAnswer(status, {}).impliesNotRun_) << status;
+  }
+}
+
 TEST(HeaderAdapter, TellsWhenToComeBack)
 {
   const HeaderAdapter adapter;
--- a/tests/support/forward_process.h
+++ b/tests/support/forward_process.h
@@ -87,6 +87,7 @@
     configuration.routes_[1].public_ = true;
     configuration.routes_[1].maxAttempts_ = attemptsOfUnsafe_;
     configuration.routes_[2].public_ = true;
+    Configure(&configuration);
     store_.Put(std::string(kStandinConfigurationTopic),
                EncodeStandinConfiguration(configuration));
     const std::string targets(kStandinTargetTopic);
@@ -95,6 +96,9 @@
     store_.Put(targets, { "i-3", "\xff garbled" });
   }
 
+  /// What a test's configuration has besides.
+  virtual auto Configure(StandinConfiguration* /*aConfiguration*/) -> void {}
+
   static auto ReadyStatus() -> std::string
   {
     const auto answer =
