DRAIN: a failed read of one router is no outage of the store

Cause: the cut router told its peers that the list couldn't be read, and they took that for an outage of the store. The next news made the list "reachable again", and removals were put off by the 2 s in which targets whose registrations expired register again. Any outage, however short, opened them.

Change: the store counts as away if a read failed and no router that this one hears of has read the list for 1.5 registration intervals; a live target's registration can't expire sooner. A router that takes over reads at once, without waiting for records, so a change of readers stays below that time.

--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -648,9 +648,9 @@
   node_.Directory().Replace(aAll, now);
 }
 
-auto ForwardingProcess::OnTargetListReachable(bool aReachable) -> void
+auto ForwardingProcess::OnTargetListRead(bool aSuccess) -> void
 {
-  node_.Directory().SetReachable(aReachable, BootNow());
+  node_.Directory().OnListRead(aSuccess, BootNow());
 }
 
 auto ForwardingProcess::OnRouters(const std::vector<RouterAddress>& aRouters)
--- a/src/main/forwarding_process.h
+++ b/src/main/forwarding_process.h
@@ -132,7 +132,7 @@
   auto OnTargetRemoved(const std::string& aKey) -> void override;
   auto OnTargets(std::vector<std::pair<std::string, RegisteredTarget>> aAll)
     -> void override;
-  auto OnTargetListReachable(bool aReachable) -> void override;
+  auto OnTargetListRead(bool aSuccess) -> void override;
   auto OnRouters(const std::vector<RouterAddress>& aRouters) -> void override;
   auto OnStoreEpoch(std::optional<std::int64_t> aEpoch) -> EpochOrder override;
   auto TimeToRead(SharedList aList, bool aFirst) -> Duration override;
--- a/src/process/forwarding/discovery_sink.h
+++ b/src/process/forwarding/discovery_sink.h
@@ -53,7 +53,9 @@
   virtual auto OnTargets(
     std::vector<std::pair<std::string, RegisteredTarget>> aSnapshot)
     -> void = 0;
-  virtual auto OnTargetListReachable(bool aReachable) -> void = 0;
+  /// A read of the targets, by this router or a peer, succeeded or failed. Is
+  /// called before the records of a read are passed on.
+  virtual auto OnTargetListRead(bool aSuccess) -> void = 0;
   virtual auto OnRouters(const std::vector<RouterAddress>& aRouters)
     -> void = 0;
 
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -620,6 +620,7 @@
   , overloadController_(aOptions.policy_)
 {
   dispatcher_.SetColdStartLimits(aOptions.coldStarts_);
+  directory_.SetMinExpiringOutage(aOptions.minExpiringOutage_);
   dispatcher_.SetWholeHandler([this](const PartIds& aParts, Instant aNow) {
     quarantine_.OnAnswer(aParts, { aNow, 0us, true });
   });
@@ -631,6 +632,7 @@
   options_ = aOptions;
   options_.policy_ = policy;
   dispatcher_.SetColdStartLimits(options_.coldStarts_);
+  directory_.SetMinExpiringOutage(options_.minExpiringOutage_);
 }
 
 auto ForwardingNode::OnArrival(IncomingRequest aArrival, Instant aNow) -> void
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -39,6 +39,9 @@
   RetryBudgetLimits retries_;
   /// Rate limit of all routers together for a cold target.
   ColdStartLimits coldStarts_;
+  /// Shortest outage of the store in which registrations of live targets may
+  /// expire.
+  Duration minExpiringOutage_ = 1800ms;
   /// Fixed at process start; later settings don't change it.
   ForwardingPolicy policy_;
 };
--- a/src/process/placement/target_directory.cpp
+++ b/src/process/placement/target_directory.cpp
@@ -77,7 +77,7 @@
   }
   // A target that announced leaving is not usable again under the same id.
   aTarget.leaving_ = aTarget.leaving_ || entry.target_.leaving_;
-  entry.dropAt_.reset();
+  entry.isExpired_ = false;
   entry.isFromSnapshot_ = aIsFromSnapshot;
   keysById_[aTarget.id_] = aKey;
   entry.target_ = std::move(aTarget);
@@ -89,17 +89,12 @@
   if (found == entries_.end()) {
     return;
   }
-  const bool mayReregister =
-    unreachableSince_ ||
-    (reachableSince_ && aNow - *reachableSince_ < kReregistrationGracePeriod);
+  const bool mayReregister = hasFailedRead_ || aNow < graceUntil_;
   if (!mayReregister || found->second.target_.leaving_) {
     Erase(found);
     return;
   }
-  if (!found->second.dropAt_) {
-    found->second.dropAt_ =
-      reachableSince_.value_or(aNow) + kReregistrationGracePeriod;
-  }
+  found->second.isExpired_ = true;
 }
 
 auto TargetDirectory::Replace(
@@ -152,8 +147,9 @@
 auto TargetDirectory::OnStoreRestored(Instant aNow) -> void
 {
   nextSnapshotMayBeStale_ = true;
-  unreachableSince_.reset();
-  reachableSince_ = aNow;
+  lastRead_ = aNow;
+  hasFailedRead_ = false;
+  graceUntil_ = aNow + kReregistrationGracePeriod;
 }
 
 auto TargetDirectory::GoneTargets() const -> const std::set<TargetId>&
@@ -185,28 +181,33 @@
   return drainedZones_.contains(aZone);
 }
 
-auto TargetDirectory::SetReachable(bool aReachable, Instant aNow) -> void
+auto TargetDirectory::SetMinExpiringOutage(Duration aOutage) -> void
 {
-  if (!aReachable) {
-    if (!unreachableSince_) {
-      unreachableSince_ = aNow;
-    }
+  minExpiringOutage_ = aOutage;
+}
+
+auto TargetDirectory::OnListRead(bool aSuccess, Instant aNow) -> void
+{
+  if (!aSuccess) {
+    hasFailedRead_ = true;
     return;
   }
-  if (unreachableSince_) {
-    unreachableSince_.reset();
-    reachableSince_ = aNow;
+  const bool wasAway = std::exchange(hasFailedRead_, false) &&
+                       (!lastRead_ || aNow - *lastRead_ >= minExpiringOutage_);
+  if (wasAway) {
+    graceUntil_ = aNow + kReregistrationGracePeriod;
   }
+  lastRead_ = aNow;
 }
 
 auto TargetDirectory::Tick(Instant aNow) -> void
 {
-  if (unreachableSince_) {
+  if (hasFailedRead_ || aNow < graceUntil_) {
     return;
   }
   for (auto entry = entries_.begin(); entry != entries_.end();) {
     const auto next = std::next(entry);
-    if (entry->second.dropAt_ && aNow >= *entry->second.dropAt_) {
+    if (entry->second.isExpired_) {
       Erase(entry);
     }
     entry = next;
@@ -259,11 +260,6 @@
   return entries_.size();
 }
 
-auto TargetDirectory::IsReachable() const -> bool
-{
-  return !unreachableSince_;
-}
-
 auto TargetDirectory::Version() const -> std::int64_t
 {
   return version_;
--- a/src/process/placement/target_directory.h
+++ b/src/process/placement/target_directory.h
@@ -54,10 +54,14 @@
 
 /// The registered targets, by registration key.
 ///
-/// Registrations may expire while the list is unreachable, although their
-/// targets are alive. One that is missing when the list is reachable again is
-/// dropped only after kReregistrationGracePeriod, within which a live target
-/// registers again.
+/// Registrations may expire while the store of the list is away, although their
+/// targets are alive. One that is missing after such an outage is dropped only
+/// after kReregistrationGracePeriod, within which a live target registers
+/// again.
+///
+/// Whether the store is away is not known from one failed read: it may serve
+/// all routers but one. It counts as away where no router that this one hears
+/// of has read the list for as long as a registration takes to expire.
 ///
 /// The list of a store restored from an older copy may show registrations that
 /// have ended since. Incarnations known to be gone stay so until they register
@@ -66,12 +70,13 @@
 {
   /// Live targets register again within two seconds.
   static constexpr Duration kReregistrationGracePeriod = 2s;
+  static constexpr Duration kDefaultMinExpiringOutage = 1800ms;
 
   struct Entry
   {
     RegisteredTarget target_;
-    /// When an expired registration counts as gone.
-    std::optional<Instant> dropAt_;
+    /// Whether the registration ended, perhaps only because the store was away.
+    bool isExpired_ = false;
     /// Whether it is known only from a snapshot, which may be of an older copy.
     bool isFromSnapshot_ = false;
   };
@@ -91,8 +96,14 @@
   std::vector<DirectoryChange> changes_;
   /// Zones whose targets get no requests.
   std::set<ZoneId> drainedZones_;
-  std::optional<Instant> unreachableSince_;
-  std::optional<Instant> reachableSince_;
+  /// Shortest outage in which a registration of a live target may expire.
+  Duration minExpiringOutage_ = kDefaultMinExpiringOutage;
+  /// The last successful read of the list by any router.
+  std::optional<Instant> lastRead_;
+  /// Whether a read of any router has failed since.
+  bool hasFailedRead_ = false;
+  /// Until when expired registrations are kept.
+  Instant graceUntil_{};
   std::int64_t version_ = 1;
 
   auto RecordChange(const RegisteredTarget& aTarget, std::string_view aChange)
@@ -126,9 +137,12 @@
   /// Begins or ends the drain of a zone.
   auto SetZoneDrained(ZoneId aZone, bool aDrained) -> void;
   [[nodiscard]] auto IsZoneDrained(ZoneId aZone) const -> bool;
-  /// The list has become unreachable, or reachable again.
-  auto SetReachable(bool aReachable, Instant aNow) -> void;
-  /// Drops expired entries whose grace period has ended.
+  /// Sets how long an outage lasts at least in which registrations of live
+  /// targets expire.
+  auto SetMinExpiringOutage(Duration aOutage) -> void;
+  /// A read of the list, by this router or a peer, succeeded or failed.
+  auto OnListRead(bool aSuccess, Instant aNow) -> void;
+  /// Drops expired entries when the grace period has ended.
   auto Tick(Instant aNow) -> void;
 
   /// The target, or null if it is no longer registered.
@@ -143,7 +157,6 @@
   [[nodiscard]] auto InZone(ZoneId aZone) const
     -> std::vector<const RegisteredTarget*>;
   [[nodiscard]] auto Size() const -> std::size_t;
-  [[nodiscard]] auto IsReachable() const -> bool;
   /// Changes whenever the result of Usable() may change.
   [[nodiscard]] auto Version() const -> std::int64_t;
   auto TakeChanges() -> std::vector<DirectoryChange>;
--- a/tests/platform/configuration_trust_test.cpp
+++ b/tests/platform/configuration_trust_test.cpp
@@ -89,7 +89,7 @@
     -> void override
   {
   }
-  auto OnTargetListReachable(bool /*aReachable*/) -> void override {}
+  auto OnTargetListRead(bool /*aSuccess*/) -> void override {}
   auto OnRouters(const std::vector<RouterAddress>& aRouters) -> void override
   {
     node_.OnRouters(aRouters, BootNow());
--- a/tests/platform/process_settings_test.cpp
+++ b/tests/platform/process_settings_test.cpp
@@ -27,6 +27,21 @@
   EXPECT_DOUBLE_EQ(settings->forwarding_.coldStarts_.slack_, 5);
 }
 
+// Targets that register less often expire only in a longer outage.
+TEST(ProcessSettings, ExpiringOutageFollowsTheHeartbeat)
+{
+  const auto outage = [](const std::string& aField) {
+    auto text = kSettings;
+    text.insert(1, aField);
+    FindingList findings;
+    const auto settings = ReadProcessSettings(text, "f", &findings);
+    return settings ? settings->forwarding_.minExpiringOutage_ : Duration(0);
+  };
+  EXPECT_EQ(outage(""), Duration(1800ms));
+  EXPECT_EQ(outage(R"("heartbeatMs":4000,)"), Duration(6s));
+  EXPECT_EQ(outage(R"("heartbeatMs":"often",)"), Duration(0));
+}
+
 TEST(ProcessSettings, AllFindingsAreReportedTogether)
 {
   FindingList findings;
--- a/tests/platform/store_source_test.cpp
+++ b/tests/platform/store_source_test.cpp
@@ -72,7 +72,7 @@
       targets_.insert(entry.first);
     }
   }
-  auto OnTargetListReachable(bool /*aReachable*/) -> void override {}
+  auto OnTargetListRead(bool /*aSuccess*/) -> void override {}
   auto OnRouters(const std::vector<RouterAddress>& aRouters) -> void override
   {
     routers_ = aRouters;
@@ -234,6 +234,18 @@
   EXPECT_GT(source_->Calls(), before);
 }
 
+// A router that takes over must learn at once that the store is up, or a
+// reader's cut looks like an outage to all others.
+TEST_F(StoreSourceTest, TakeoverReadsWithoutWaitingForRecords)
+{
+  ASSERT_TRUE(RunUntil([&] { return store_.LastWaitMs(kTargets) == "500"; }));
+  sink_.waits_ = true;
+  context_.run_for(std::chrono::milliseconds(200));
+  sink_.waits_ = false;
+  EXPECT_TRUE(RunUntil([&] { return store_.LastWaitMs(kTargets) == "0"; }));
+  EXPECT_TRUE(RunUntil([&] { return store_.LastWaitMs(kTargets) == "500"; }));
+}
+
 TEST_F(StoreSourceTest, AnswerThatComesLateFromAnOlderEpochSaysNothing)
 {
   store_.SetFault(StoreFault::kSlow);
