BUDGET: quarantines outlive a kill of all routers, in the store

Cause: quarantines were kept in the routers' memory only. New routers learn them from live leads, and none was left.

Each process reads the topic once after its start, without waiting for it. A record names ids of parts, the time left and the renewals, and no time of day. What is restored counts as older than any change that a peer knows of, so a lifted quarantine isn't spread again. After a return of the store from an older copy leads store all again.

Why it works: the verdict no longer depends on a process that lives.

--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -404,6 +404,11 @@
   metrics_.RecordEventGaps(aEffect.route_, aEffect.longest_, aEffect.limit_);
 }
 
+auto ForwardingProcess::Apply(const StoreQuarantine& aEffect) -> void
+{
+  source_.Store(aEffect);
+}
+
 auto ForwardingProcess::MetricsText() const -> std::string
 {
   const auto& counters = node_.Counters();
@@ -431,6 +436,7 @@
   add("quarantines_learned_total", quarantine.Counters().learned_);
   add("quarantines_lifted_total", quarantine.Counters().lifted_);
   add("quarantines_renewed_total", quarantine.Counters().renewed_);
+  add("quarantines_restored_total", quarantine.Counters().restored_);
   add("quarantine_rows_skipped_total", quarantine.Counters().malformed_);
   add("stale_keys_total", counters.staleKeyChecks_);
   add("overload_refusals_total", counters.overloadRejections_);
@@ -653,6 +659,13 @@
   node_.Directory().OnListRead(aSuccess, BootNow());
 }
 
+auto ForwardingProcess::OnStoredQuarantine(const StoredQuarantine& aQuarantine)
+  -> void
+{
+  node_.OnStoredQuarantine(aQuarantine, BootNow());
+  Settle();
+}
+
 auto ForwardingProcess::OnRouters(const std::vector<RouterAddress>& aRouters)
   -> void
 {
--- a/src/main/forwarding_process.h
+++ b/src/main/forwarding_process.h
@@ -96,6 +96,7 @@
   auto Apply(const ApplyConfiguration& aEffect) -> void;
   auto Apply(const ApplyListNews& aEffect) -> void;
   auto Apply(const RecordEventGaps& aEffect) -> void;
+  auto Apply(const StoreQuarantine& aEffect) -> void;
   [[nodiscard]] auto MetricsText() const -> std::string;
 
 public:
@@ -133,6 +134,7 @@
   auto OnTargets(std::vector<std::pair<std::string, RegisteredTarget>> aAll)
     -> void override;
   auto OnTargetListRead(bool aSuccess) -> void override;
+  auto OnStoredQuarantine(const StoredQuarantine& aQuarantine) -> void override;
   auto OnRouters(const std::vector<RouterAddress>& aRouters) -> void override;
   auto OnStoreEpoch(std::optional<std::int64_t> aEpoch) -> EpochOrder override;
   auto TimeToRead(SharedList aList, bool aFirst) -> Duration override;
--- a/src/process/forwarding/discovery_sink.h
+++ b/src/process/forwarding/discovery_sink.h
@@ -8,6 +8,7 @@
 #include "process/peers/store_epoch_tracker.h"
 #include "process/placement/target_directory.h"
 #include "process/placement/zone_drains.h"
+#include "process/quarantine/stored_quarantine.h"
 #include "version/route_table.h"
 
 #include <optional>
@@ -59,6 +60,9 @@
   virtual auto OnRouters(const std::vector<RouterAddress>& aRouters)
     -> void = 0;
 
+  /// A quarantine that was stored before this process started.
+  virtual auto OnStoredQuarantine(const StoredQuarantine& aQuarantine)
+    -> void = 0;
   /// The store epoch that a response or a peer's update belongs to. Returns how
   /// it compares with the newest known one: data of an older epoch must be
   /// ignored; after a newer one all lists must be read in full and the router's
--- a/src/process/forwarding/forwarding_effects.h
+++ b/src/process/forwarding/forwarding_effects.h
@@ -5,6 +5,7 @@
 #include "base/time.h"
 #include "peer_types.h"
 #include "process/peers/read_scheduler.h"
+#include "process/quarantine/stored_quarantine.h"
 
 #include <cstdint>
 #include <optional>
@@ -99,7 +100,8 @@
                                       SendToRouters,
                                       ApplyConfiguration,
                                       ApplyListNews,
-                                      RecordEventGaps>;
+                                      RecordEventGaps,
+                                      StoreQuarantine>;
 
 using ForwardingEffects = std::vector<ForwardingEffect>;
 
--- a/src/process/forwarding/forwarding_node.cpp
+++ b/src/process/forwarding/forwarding_node.cpp
@@ -492,6 +492,23 @@
            : std::nullopt;
 }
 
+auto ForwardingNode::UpdateQuarantine(Instant aNow) -> void
+{
+  const bool isLead = peers_.Peers().IsLead();
+  if (quarantine_.NeedsAnswers(aNow)) {
+    ObserveAnswers(aNow);
+  }
+  quarantine_.Tick(isLead, aNow);
+  if (quarantine_.HasChanged()) {
+    EnforceQuarantine(aNow);
+  }
+  for (auto& change : quarantine_.TakeChangesToStore(aNow)) {
+    if (isLead) {
+      effects_.emplace_back(std::move(change));
+    }
+  }
+}
+
 auto ForwardingNode::ObserveAnswers(Instant aNow) -> void
 {
   for (const auto& entry : requests_) {
@@ -907,6 +924,7 @@
   directory_.OnStoreRestored(aNow);
   drains_.OnStoreEpoch(*aEpoch, aNow);
   config_.OnStoreRestored();
+  quarantine_.StoreAgain();
   config_.DistrustStoreUntil(aNow + kRewriteGracePeriod);
   peers_.ReportGone(directory_.GoneTargets(), aNow);
   log_->Write(
@@ -986,6 +1004,12 @@
   return directory_;
 }
 
+auto ForwardingNode::OnStoredQuarantine(const StoredQuarantine& aQuarantine,
+                                        Instant aNow) -> void
+{
+  quarantine_.Restore(aQuarantine, aNow);
+}
+
 auto ForwardingNode::OnRouters(const std::vector<RouterAddress>& aRouters,
                                Instant aNow) -> void
 {
@@ -1068,13 +1092,7 @@
   placementServer_.Tick(aNow);
   dispatcher_.RetryWaiting(aNow);
   TakeDecisions(aNow);
-  if (quarantine_.NeedsAnswers(aNow)) {
-    ObserveAnswers(aNow);
-  }
-  quarantine_.Tick(peers_.Peers().IsLead(), aNow);
-  if (quarantine_.HasChanged()) {
-    EnforceQuarantine(aNow);
-  }
+  UpdateQuarantine(aNow);
   peers_.Tick(aNow);
   placementStateLog_.Tick(aNow);
   LogTargetChanges();
--- a/src/process/forwarding/forwarding_node.h
+++ b/src/process/forwarding/forwarding_node.h
@@ -223,6 +223,9 @@
   /// Age of the last attempt's answer; empty if it has not begun.
   [[nodiscard]] static auto AnswerAge(const Request& aRequest, Instant aNow)
     -> std::optional<Duration>;
+  /// Judges the evidence against parts of prompts, and has its results take
+  /// effect.
+  auto UpdateQuarantine(Instant aNow) -> void;
   /// Passes the progress of this router's answers to the quarantine.
   auto ObserveAnswers(Instant aNow) -> void;
   [[nodiscard]] auto MayRetry(Request* aRequest,
@@ -325,6 +328,9 @@
                     std::int64_t aOffset,
                     Instant aNow) -> void;
   auto Directory() -> TargetDirectory&;
+  /// A quarantine that was stored before this process started.
+  auto OnStoredQuarantine(const StoredQuarantine& aQuarantine, Instant aNow)
+    -> void;
   auto OnRouters(const std::vector<RouterAddress>& aRouters, Instant aNow)
     -> void;
   auto OnPeer(const wire::Envelope& aEnvelope, Instant aNow) -> void;
--- a/src/process/quarantine/part_quarantine.cpp
+++ b/src/process/quarantine/part_quarantine.cpp
@@ -84,9 +84,24 @@
       return aLeft.second.changedAt_ < aRight.second.changedAt_;
     });
   Log("quarantine_dropped", oldest->first, oldest->second, 0);
+  unstored_.insert(oldest->first);
   quarantines_.erase(oldest);
 }
 
+auto PartQuarantine::DropExpired(Instant aNow) -> void
+{
+  std::erase_if(quarantines_, [&](const auto& aEntry) {
+    const auto& quarantine = aEntry.second;
+    const bool isIdle =
+      !quarantine.isLifted_ && aNow - quarantine.until_ > kMaxIdle;
+    if (isIdle) {
+      unstored_.insert(aEntry.first);
+    }
+    return isIdle || (quarantine.isLifted_ &&
+                      aNow - quarantine.changedAt_ > kLiftedLifetime);
+  });
+}
+
 auto PartQuarantine::LiftSupersets(const PartIds& aParts, Instant aNow) -> void
 {
   for (auto& entry : quarantines_) {
@@ -105,6 +120,7 @@
   aQuarantine->isLifted_ = true;
   aQuarantine->changedAt_ = aAt;
   aQuarantine->until_ = aAt;
+  unstored_.insert(aParts);
   hasUrgentNews_ = true;
   ++counters_.lifted_;
   Log("quarantine_lifted", aParts, *aQuarantine, 0);
@@ -118,6 +134,7 @@
   quarantine = {};
   quarantine.changedAt_ = aNow;
   quarantine.until_ = aNow + kDuration;
+  unstored_.insert(aCause.parts_);
   hasUrgentNews_ = true;
   hasChanged_ = true;
   ++counters_.imposed_;
@@ -136,6 +153,7 @@
     quarantine.changedAt_ = aAt;
     quarantine.until_ = aAt + kDuration * (1 << quarantine.renewals_);
     quarantine.trial_.reset();
+    unstored_.insert(entry.first);
     hasUrgentNews_ = true;
     ++counters_.renewed_;
     Log("quarantine_renewed", entry.first, quarantine, 1);
@@ -286,6 +304,7 @@
     aNow + std::clamp<Duration>(Duration(aRow.remainingMicros), 0us, kMaxIdle);
   quarantine.renewals_ = std::clamp(aRow.renewals, 0, kMaxDoublings);
   quarantine.isLifted_ = aRow.lifted;
+  unstored_.insert(*parts);
   hasUrgentNews_ = true;
   hasChanged_ = true;
   ++(aRow.lifted ? counters_.lifted_ : counters_.learned_);
@@ -375,11 +394,7 @@
 auto PartQuarantine::Tick(bool aMayImpose, Instant aNow) -> void
 {
   evidence_.Tick(aNow);
-  std::erase_if(quarantines_, [&](const auto& aEntry) {
-    const auto& quarantine = aEntry.second;
-    return quarantine.isLifted_ ? aNow - quarantine.changedAt_ > kLiftedLifetime
-                                : aNow - quarantine.until_ > kMaxIdle;
-  });
+  DropExpired(aNow);
   if (!aMayImpose || aNow > judgeUntil_ ||
       aNow - lastJudgement_ < kJudgeInterval) {
     return;
@@ -464,6 +479,55 @@
   return std::exchange(hasUrgentNews_, false);
 }
 
+auto PartQuarantine::Restore(const StoredQuarantine& aQuarantine, Instant aNow)
+  -> void
+{
+  const auto& parts = aQuarantine.parts_;
+  if (parts.empty() || quarantines_.contains(parts) ||
+      quarantines_.size() >= kMaxQuarantines) {
+    return;
+  }
+  auto& quarantine = quarantines_[parts];
+  // Older than any change that a peer knows of.
+  quarantine.changedAt_ = aNow - kMaxAge;
+  quarantine.until_ =
+    aNow + std::clamp<Duration>(aQuarantine.remaining_, 0us, kMaxIdle);
+  quarantine.renewals_ = std::clamp(aQuarantine.renewals_, 0, kMaxDoublings);
+  hasUrgentNews_ = true;
+  hasChanged_ = true;
+  ++counters_.restored_;
+  log_->Write("quarantine_restored",
+              { { "parts", PartIdsText(parts) },
+                { "renewals", std::int64_t{ quarantine.renewals_ } },
+                { "for_ms", ToMillis(quarantine.until_ - aNow) } });
+}
+
+auto PartQuarantine::StoreAgain() -> void
+{
+  for (const auto& entry : quarantines_) {
+    unstored_.insert(entry.first);
+  }
+}
+
+auto PartQuarantine::TakeChangesToStore(Instant aNow)
+  -> std::vector<StoreQuarantine>
+{
+  std::vector<StoreQuarantine> changes;
+  for (const auto& parts : std::exchange(unstored_, {})) {
+    StoreQuarantine change;
+    change.quarantine_.parts_ = parts;
+    const auto found = quarantines_.find(parts);
+    change.isInForce_ = found != quarantines_.end() && !found->second.isLifted_;
+    if (change.isInForce_) {
+      change.quarantine_.remaining_ =
+        std::max<Duration>(found->second.until_ - aNow, 0us);
+      change.quarantine_.renewals_ = found->second.renewals_;
+    }
+    changes.push_back(std::move(change));
+  }
+  return changes;
+}
+
 auto PartQuarantine::Count() const -> std::size_t
 {
   return static_cast<std::size_t>(
--- a/src/process/quarantine/part_quarantine.h
+++ b/src/process/quarantine/part_quarantine.h
@@ -7,12 +7,14 @@
 #include "process/forwarding/event_log.h"
 #include "process/quarantine/crash_evidence.h"
 #include "process/quarantine/part_ids.h"
+#include "process/quarantine/stored_quarantine.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace burdockring {
@@ -25,6 +27,8 @@
   std::int64_t learned_ = 0;
   std::int64_t lifted_ = 0;
   std::int64_t renewed_ = 0;
+  /// Quarantines taken from the store.
+  std::int64_t restored_ = 0;
   /// Rows of peers that could not be decoded.
   std::int64_t malformed_ = 0;
 };
@@ -44,7 +48,9 @@
 /// kDuration one request is tried, by one router; if its target loses it, the
 /// quarantine is renewed for twice as long, at the cost of one crash.
 ///
-/// The state is lost only if all leads restart at the same time.
+/// Changes are to be stored outside the fleet, so that the quarantines are
+/// known again if all leads restart at the same time; only the evidence of
+/// parts that were not yet found is lost then.
 class PartQuarantine
 {
 public:
@@ -98,6 +104,8 @@
   std::deque<Event> events_;
   /// The same for parts whose answers went on.
   std::deque<Event> cleared_;
+  /// Quarantines that changed since the changes to be stored were last taken.
+  std::set<PartIds> unstored_;
   QuarantineCounters counters_;
   /// Until when evidence may have changed that has not been judged.
   Instant judgeUntil_{};
@@ -126,6 +134,8 @@
                Instant aAt) -> void;
   auto MergeRow(const wire::QuarantineRow& aRow, Instant aNow) -> void;
   auto MakeRoom() -> void;
+  /// Drops quarantines that ended long ago.
+  auto DropExpired(Instant aNow) -> void;
   auto Log(std::string_view aEvent,
            const PartIds& aParts,
            const Quarantine& aQuarantine,
@@ -179,6 +189,14 @@
   /// the last call, or they were asked for.
   auto TakeUrgentNews() -> bool;
 
+  /// Takes a quarantine that was stored before this process started. What peers
+  /// know of it goes before it.
+  auto Restore(const StoredQuarantine& aQuarantine, Instant aNow) -> void;
+  /// Has all quarantines stored again, as the store may have lost them.
+  auto StoreAgain() -> void;
+  /// Changes to be stored since the last call.
+  auto TakeChangesToStore(Instant aNow) -> std::vector<StoreQuarantine>;
+
   /// Quarantines in force.
   [[nodiscard]] auto Count() const -> std::size_t;
   [[nodiscard]] auto Counters() const -> const QuarantineCounters&;
--- a/tests/platform/store_source_test.cpp
+++ b/tests/platform/store_source_test.cpp
@@ -73,6 +73,10 @@
     }
   }
   auto OnTargetListRead(bool /*aSuccess*/) -> void override {}
+  auto OnStoredQuarantine(const StoredQuarantine& /*aQuarantine*/)
+    -> void override
+  {
+  }
   auto OnRouters(const std::vector<RouterAddress>& aRouters) -> void override
   {
     routers_ = aRouters;
--- a/tests/process/quarantine/deadly_prompt_part_test.cpp
+++ b/tests/process/quarantine/deadly_prompt_part_test.cpp
@@ -281,6 +281,37 @@
   ExpectContained();
 }
 
+// All routers were killed at once, and with them what they knew of the part.
+TEST_P(DeadlyPromptPartTest, QuarantineOutlivesAllRouters)
+{
+  traffic_.SetDeadlyShare(0.05);
+  traffic_.Run(10s);
+  ASSERT_EQ(zone_.StoredQuarantines().size(), 1U);
+  zone_.RestartAll(2);
+  zone_.ReadStoredQuarantines();
+  traffic_.Run(12s);
+  ExpectContained();
+  // Again, by routers that have the quarantine only from the store.
+  zone_.RestartAll(3);
+  zone_.ReadStoredQuarantines();
+  traffic_.Run(12s);
+  ExpectContained();
+  EXPECT_EQ(zone_.StoredQuarantines().size(), 1U);
+}
+
+// The routers that knew are replaced in turn, faster than they report.
+TEST_P(DeadlyPromptPartTest, QuarantineOutlivesTheLeads)
+{
+  traffic_.SetDeadlyShare(0.05);
+  traffic_.Run(10s);
+  for (std::size_t router = 0; router < 4; ++router) {
+    zone_.Restart(router, 2);
+  }
+  zone_.ReadStoredQuarantines();
+  traffic_.Run(12s);
+  ExpectContained();
+}
+
 // Half of the engines crash at once, several times, and no part is to blame.
 TEST_P(DeadlyPromptPartTest, MassCrashesPutNoPartInQuarantine)
 {
--- a/tests/process/quarantine/part_quarantine_test.cpp
+++ b/tests/process/quarantine/part_quarantine_test.cpp
@@ -121,6 +121,133 @@
   EXPECT_TRUE(quarantine_.Admits(2, kParts, true, 7s));
 }
 
+/// A quarantine that the store keeps.
+class StoredQuarantineTest : public PartQuarantineTest
+{
+protected:
+  static auto TakeOnly(PartQuarantine* aQuarantine, Instant aNow)
+    -> StoreQuarantine
+  {
+    const auto changes = aQuarantine->TakeChangesToStore(aNow);
+    EXPECT_EQ(changes.size(), 1U);
+    return changes.empty() ? StoreQuarantine() : changes.front();
+  }
+};
+
+// All routers restarted at once and forgot which part crashes targets.
+TEST_F(StoredQuarantineTest, IsInForceAfterARestart)
+{
+  Impose(&quarantine_);
+  const auto change = TakeOnly(&quarantine_, 5s);
+  EXPECT_TRUE(change.isInForce_);
+  EXPECT_EQ(change.quarantine_.parts_, PartIds{ kDeadly });
+  EXPECT_TRUE(quarantine_.TakeChangesToStore(5s).empty());
+  PartQuarantine other(&log_);
+  // Clocks of other processes begin elsewhere.
+  other.Restore(change.quarantine_, 100s);
+  EXPECT_FALSE(other.Admits(1, kParts, true, 100s));
+  EXPECT_TRUE(other.Admits(2, { 3, 8 }, true, 100s));
+  EXPECT_GT(other.Remaining(kParts, 100s), 9min);
+  EXPECT_TRUE(other.HasChanged());
+  EXPECT_TRUE(other.TakeChangesToStore(100s).empty());
+  // Its end is the same: the trial of one request.
+  EXPECT_TRUE(other.Admits(3, kParts, true, 101s + PartQuarantine::kDuration));
+}
+
+TEST_F(StoredQuarantineTest, IsDeletedWhenItIsLifted)
+{
+  Impose(&quarantine_);
+  TakeOnly(&quarantine_, 5s);
+  quarantine_.OnAnswer(kParts, WholeAt(6s));
+  EXPECT_FALSE(TakeOnly(&quarantine_, 7s).isInForce_);
+}
+
+// A lead that only heard of the end of a quarantine deletes it too: its own
+// write may be the last.
+TEST_F(StoredQuarantineTest, IsDeletedByRoutersThatHearOfItsEnd)
+{
+  PartQuarantine other(&log_);
+  Impose(&quarantine_);
+  other.OnPeerNews(RowsOf(quarantine_, 5s), 5s);
+  EXPECT_TRUE(TakeOnly(&other, 5s).isInForce_);
+  quarantine_.OnAnswer(kParts, WholeAt(6s));
+  other.OnPeerNews(RowsOf(quarantine_, 7s), 7s);
+  EXPECT_FALSE(TakeOnly(&other, 7s).isInForce_);
+}
+
+TEST_F(StoredQuarantineTest, IsStoredAgainWhenItIsRenewed)
+{
+  Impose(&quarantine_);
+  TakeOnly(&quarantine_, 5s);
+  const auto end = 4s + PartQuarantine::kDuration;
+  EXPECT_TRUE(quarantine_.Admits(2, kParts, true, end));
+  quarantine_.OnLost(TargetId{ 9 }, kParts, std::nullopt, end + 1s);
+  const auto change = TakeOnly(&quarantine_, end + 1s);
+  EXPECT_EQ(change.quarantine_.renewals_, 1);
+  EXPECT_GT(change.quarantine_.remaining_, PartQuarantine::kDuration);
+}
+
+// The store came back from an older copy and lacks the quarantine.
+TEST_F(StoredQuarantineTest, IsStoredAgainOnRequest)
+{
+  Impose(&quarantine_);
+  TakeOnly(&quarantine_, 5s);
+  quarantine_.StoreAgain();
+  EXPECT_TRUE(TakeOnly(&quarantine_, 6s).isInForce_);
+}
+
+TEST_F(StoredQuarantineTest, IsDeletedWhenNoRequestCameForLong)
+{
+  Impose(&quarantine_);
+  TakeOnly(&quarantine_, 5s);
+  const auto end = 4s + PartQuarantine::kDuration + PartQuarantine::kMaxIdle;
+  quarantine_.Tick(true, end + 1s);
+  EXPECT_FALSE(TakeOnly(&quarantine_, end + 1s).isInForce_);
+}
+
+// A deletion was lost, and a router that starts reads the old quarantine.
+TEST_F(StoredQuarantineTest, IsNotBroughtBackToPeersThatLiftedIt)
+{
+  Impose(&quarantine_);
+  const auto stored = TakeOnly(&quarantine_, 5s).quarantine_;
+  quarantine_.OnAnswer(kParts, WholeAt(6s));
+  PartQuarantine other(&log_);
+  other.Restore(stored, 7s);
+  quarantine_.OnPeerNews(RowsOf(other, 7s), 7s);
+  EXPECT_TRUE(quarantine_.Admits(1, kParts, true, 7s));
+  other.OnPeerNews(RowsOf(quarantine_, 8s), 8s);
+  EXPECT_TRUE(other.Admits(2, kParts, true, 8s));
+  EXPECT_FALSE(TakeOnly(&other, 8s).isInForce_);
+}
+
+// The same after the peers no longer report the end of the quarantine.
+TEST_F(StoredQuarantineTest, IsEndedByPeersThatSawAWholeAnswer)
+{
+  Impose(&quarantine_);
+  const auto stored = TakeOnly(&quarantine_, 5s).quarantine_;
+  quarantine_.OnAnswer(kParts, WholeAt(6s));
+  const auto later = 7s + PartQuarantine::kLiftedLifetime;
+  quarantine_.Tick(true, later);
+  PartQuarantine other(&log_);
+  other.Restore(stored, later);
+  quarantine_.OnPeerNews(RowsOf(other, later), later);
+  EXPECT_TRUE(quarantine_.Admits(1, kParts, true, later));
+  other.OnPeerNews(quarantine_.TakeEvents(later), later);
+  EXPECT_TRUE(other.Admits(2, kParts, true, later));
+}
+
+TEST_F(StoredQuarantineTest, NeverDisplacesOthers)
+{
+  Impose(&quarantine_);
+  for (std::uint64_t part = 100; part < 1000; ++part) {
+    quarantine_.Restore({ { part }, 10min, 0 }, 5s);
+  }
+  quarantine_.Restore({ { kDeadly }, 1ms, 0 }, 5s);
+  quarantine_.Restore({}, 5s);
+  EXPECT_EQ(quarantine_.Count(), PartQuarantine::kMaxQuarantines);
+  EXPECT_GT(quarantine_.Remaining({ kDeadly }, 5s), 9min);
+}
+
 TEST_F(PartQuarantineTest, MalformedRowsAreSkipped)
 {
   wire::CrashNews news;
--- a/tests/support/router_zone.h
+++ b/tests/support/router_zone.h
@@ -130,6 +130,8 @@
   std::map<TargetId, std::vector<Instant>> arrivals_;
   std::map<TargetId, Instant> coldUntil_;
   int maxColdArrivals_ = 0;
+  /// The quarantines in the store.
+  std::map<PartIds, StoredQuarantine> stored_;
   std::map<std::string, std::size_t> hosts_;
   std::mt19937 random_;
   RequestId nextRequest_ = 1;
@@ -215,6 +217,12 @@
         } else if (const auto* failed = std::get_if<FailRequest>(&effect)) {
           ++failedRequests_;
           outcomes_[failed->request_].status_ = failed->status_;
+        } else if (const auto* store = std::get_if<StoreQuarantine>(&effect)) {
+          if (store->isInForce_) {
+            stored_[store->quarantine_.parts_] = store->quarantine_;
+          } else {
+            stored_.erase(store->quarantine_.parts_);
+          }
         } else if (const auto* abort = std::get_if<AbortAttempt>(&effect)) {
           EndRuns([&](const EngineRun& aRun) {
             return aRun.request_ == abort->request_;
@@ -496,6 +504,30 @@
     Apply(aRouter);
   }
 
+  /// Replaces all processes at once, without state.
+  auto RestartAll(std::int64_t aIncarnation) -> void
+  {
+    for (std::size_t i = 0; i < routers_.size(); ++i) {
+      Restart(i, aIncarnation);
+    }
+    messages_.clear();
+  }
+
+  /// Has each router read the quarantines from the store.
+  auto ReadStoredQuarantines() -> void
+  {
+    for (auto& router : routers_) {
+      for (const auto& entry : stored_) {
+        router->node_->OnStoredQuarantine(entry.second, now_);
+      }
+    }
+  }
+
+  [[nodiscard]] auto StoredQuarantines() const
+    -> const std::map<PartIds, StoredQuarantine>&
+  {
+    return stored_;
+  }
   [[nodiscard]] auto Node(std::size_t aRouter) -> ForwardingNode&
   {
     return *routers_[aRouter]->node_;
