Quarantine: the ages of answers and the tallies of crashes stand apart

How far answers had come (lost_answer) and how crashes are counted and weighed (crash_tally) are files of their own now; the class that writes and reads the store's records is QuarantineRecords, as StoreQuarantine names the effect. The loop that runs a context until a condition holds stood in three tests; it is ContextRunner.

--- a/src/process/quarantine/crash_evidence.cpp
+++ b/src/process/quarantine/crash_evidence.cpp
@@ -11,85 +11,17 @@
 /// Targets whose refusals are remembered.
 constexpr std::size_t kMaxDownTargets = 1024;
 
-/// An answer shows that a part did not cause a crash if it lives this many
-/// times as long as the one that the crash ended, and the margin longer. Busy
-/// targets write slower than others.
-constexpr double kSurvivalFactor = 1.5;
-constexpr Duration kSurvivalMargin = 150ms;
-/// The same for events, some of which are on their way when a target crashes.
-constexpr int kSurvivalEvents = 3;
-
-/// Answers are lost at about the same age if the oldest one is at most this
-/// many times as old, and the margin. Smaller than the margins of survival, as
-/// the same age is evidence only where other answers are lost at many ages.
-constexpr double kSameAgeFactor = 1.2;
-constexpr Duration kSameAgeMargin = 20ms;
-
-/// The same for answers that had come equally far.
-constexpr double kExactAgeFactor = 1.05;
-constexpr int kMinExactEvents = 10;
-
-/// From this age on, simultaneous crashes of other causes hardly end answers
-/// about as far on, so that only those within kCommonCauseSpan count once.
-constexpr Duration kLongAge = 1s;
-
-/// The age that an answer must reach to outlive one lost at this age.
-auto SurvivedAge(Duration aAge) -> Duration
-{
-  return ScaleDuration(aAge, kSurvivalFactor) + kSurvivalMargin;
-}
-
-/// The events that an answer must reach to outlive one lost after so many.
-auto SurvivedEvents(int aEvents) -> double
-{
-  return aEvents == 0 ? 0.0 : aEvents * kSurvivalFactor + kSurvivalEvents;
-}
-
-auto Outlives(const LostAnswer& aAnswer, const LostAnswer& aLost) -> bool
-{
-  return aAnswer.age_ >= SurvivedAge(aLost.age_) &&
-         aAnswer.events_ >= SurvivedEvents(aLost.events_);
-}
-
-auto IsSameAge(Duration aAge, Duration aOldest) -> bool
-{
-  return aOldest <= ScaleDuration(aAge, kSameAgeFactor) + kSameAgeMargin;
-}
-
-/// Short answers are lost at the same age by chance.
-auto IsExactAge(Duration aAge, Duration aOldest) -> bool
-{
-  return aAge > CrashEvidence::kEarlyAge &&
-         aOldest <= ScaleDuration(aAge, kExactAgeFactor);
-}
-
-auto AreSameEvents(int aEvents, int aMost) -> bool
-{
-  return aMost > 0 && aMost <= aEvents * kSameAgeFactor;
-}
-
-/// A crash may take an event or two with it that were on their way.
-auto AreExactEvents(int aEvents, int aMost) -> bool
-{
-  return aMost >= kMinExactEvents && aMost <= aEvents * kExactAgeFactor + 1;
-}
+/// A known cause explains a crash unless its answer was so much further from
+/// the usual age than a suspect's.
+constexpr Duration kDeviationMargin = 20ms;
 
 auto MayShareCause(Instant aLeft, Instant aRight) -> bool
 {
-  return std::max(aLeft, aRight) - std::min(aLeft, aRight) <=
-         CrashEvidence::kCommonCauseSpan;
+  return std::max(aLeft, aRight) - std::min(aLeft, aRight) <= kCommonCauseSpan;
 }
 
 } // namespace
 
-auto IsLostAlike(const std::optional<LostAnswer>& aLeft,
-                 const std::optional<LostAnswer>& aRight) -> bool
-{
-  const auto left = aLeft.value_or(LostAnswer());
-  const auto right = aRight.value_or(LostAnswer());
-  return !Outlives(left, right) && !Outlives(right, left);
-}
-
 auto HasAllParts(const PartIds& aParts, const PartIds& aRequired) -> bool
 {
   return std::all_of(
@@ -278,44 +210,6 @@
          (isEarly ? kSettleTime : kLateSettleTime);
 }
 
-auto CrashEvidence::AddTime(LateTally* aTally,
-                            const Crash& aCrash,
-                            Duration aAge,
-                            Duration aOldest) -> void
-{
-  if (aOldest > kLongAge) {
-    aTally->alike_.span_ = kCommonCauseSpan;
-  }
-  if (aOldest < SurvivedAge(aAge)) {
-    aTally->alike_.Add(aCrash.at_);
-  }
-  if (IsSameAge(aAge, aOldest)) {
-    aTally->same_.Add(aCrash);
-  }
-  if (IsExactAge(aAge, aOldest)) {
-    aTally->exact_.Add(aCrash.at_);
-  }
-}
-
-auto CrashEvidence::AddEvents(LateTally* aTally,
-                              const Crash& aCrash,
-                              int aEvents,
-                              int aMost) -> void
-{
-  if (aMost >= kMinExactEvents) {
-    aTally->alike_.span_ = kCommonCauseSpan;
-  }
-  if (aMost > 0 && aMost < SurvivedEvents(aEvents)) {
-    aTally->alike_.Add(aCrash.at_);
-  }
-  if (AreSameEvents(aEvents, aMost)) {
-    aTally->same_.Add(aCrash);
-  }
-  if (AreExactEvents(aEvents, aMost)) {
-    aTally->exact_.Add(aCrash.at_);
-  }
-}
-
 template<typename Counts>
 auto CrashEvidence::ScoreOf(const Suspect& aSuspect, Counts aCounts) -> Score
 {
@@ -342,64 +236,20 @@
     score.evidence_.insert(&crash);
     score.all_.Add(crash.at_);
     if (suspicion.answerAge_ <= kEarlyAge) {
-      score.early_.Add(crash);
+      score.early_.Add(crash.at_, crash.isConfirmed_);
     }
-    const LostAnswer answer{ suspicion.answerAge_, suspicion.answerEvents_ };
-    AddTime(&score.time_, crash, answer.age_, oldest);
-    AddEvents(&score.events_, crash, answer.events_, mostEvents);
+    score.time_.AddAge(suspicion.answerAge_, oldest, crash.at_,
+                       crash.isConfirmed_);
+    score.events_.AddEvents(suspicion.answerEvents_, mostEvents, crash.at_,
+                            crash.isConfirmed_);
   }
   return score;
 }
 
-auto CrashEvidence::CrashCounter::Add(Instant aAt) -> void
-{
-  ++targets_;
-  if (!first_ || aAt - *first_ > span_) {
-    first_ = aAt;
-    ++count_;
-  }
-}
-
-auto CrashEvidence::CrashTally::Add(const Crash& aCrash) -> void
-{
-  ++targets_;
-  if (!first_ || aCrash.at_ - *first_ > kSimultaneous) {
-    first_ = aCrash.at_;
-    hasConfirmed_ = false;
-    isSpread_ = false;
-    ++count_;
-    ++weight_;
-  }
-  if (aCrash.isConfirmed_ && !hasConfirmed_) {
-    hasConfirmed_ = true;
-    ++weight_;
-  }
-  if (aCrash.at_ - *first_ > kCommonCauseSpan && !isSpread_) {
-    isSpread_ = true;
-    ++weight_;
-  }
-}
-
-auto CrashEvidence::CrashTally::IsEnough() const -> bool
-{
-  constexpr int kConfirmedWeight = 2;
-  return count_ >= kConfirmedCrashes &&
-         weight_ >= kConfirmedCrashes * kConfirmedWeight;
-}
-
-auto CrashEvidence::LateTally::IsEnough(int aAll) const -> bool
-{
-  const bool areSame = exact_.count_ >= kExactCrashes ||
-                       (same_.targets_ >= kLateTargets && same_.IsEnough());
-  const bool areAlike = alike_.count_ >= kUnconfirmedCrashes &&
-                        alike_.targets_ >= kMinAlikeShare * aAll;
-  return (areSame && same_.targets_ >= kMinSameShare * aAll) || areAlike;
-}
-
 auto CrashEvidence::Score::Weight() const -> int
 {
-  return all_.targets_ + std::max({ early_.targets_, time_.same_.targets_,
-                                    events_.same_.targets_ });
+  return all_.targets_ + std::max({ early_.Targets(), time_.SameTargets(),
+                                    events_.SameTargets() });
 }
 
 auto CrashEvidence::IsCause(const Score& aScore) -> bool
@@ -468,7 +318,7 @@
 {
   const auto found = aExplained.find(aSuspicion.crash_);
   return found == aExplained.end() ||
-         found->second > AgeDeviation(aSuspicion, aSuspect) + kSameAgeMargin;
+         found->second > AgeDeviation(aSuspicion, aSuspect) + kDeviationMargin;
 }
 
 auto CrashEvidence::FindStrongest(const ExplainedCrashes& aExplained,
@@ -483,7 +333,7 @@
     const auto open = std::count_if(
       suspect.suspicions_.begin(), suspect.suspicions_.end(),
       [](const Suspicion& aSuspicion) { return !aSuspicion.IsCleared(); });
-    if (open < kConfirmedCrashes) {
+    if (open < CrashTally::kConfirmedCrashes) {
       continue;
     }
     const bool isAmbiguous = aAmbiguous.contains(entry.first);
--- a/src/process/quarantine/crash_evidence.h
+++ b/src/process/quarantine/crash_evidence.h
@@ -3,6 +3,8 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "process/quarantine/crash_tally.h"
+#include "process/quarantine/lost_answer.h"
 #include "process/quarantine/part_ids.h"
 
 #include <cstddef>
@@ -37,21 +39,6 @@
   int events_ = 0;
 };
 
-/// An answer that had begun when its target lost it.
-struct LostAnswer
-{
-  /// Time since it began.
-  Duration age_{};
-  /// Whole events of a stream; 0 for another answer.
-  int events_ = 0;
-};
-
-/// Whether two answers were lost about as far on: within the margins by which
-/// an answer must outlive another one to show that it has no common cause.
-/// Empty: the answer had not begun.
-auto IsLostAlike(const std::optional<LostAnswer>& aLeft,
-                 const std::optional<LostAnswer>& aRight) -> bool;
-
 /// Finds the prompt parts that crash targets (a "query of death").
 ///
 /// A target that crashes takes all its requests with it, also those that did
@@ -80,29 +67,10 @@
 class CrashEvidence
 {
 public:
-  /// Crashes within this time of the first of them count once.
-  static constexpr Duration kSimultaneous = 100ms;
-  /// So many crashes within a shorter time that a part doesn't explain have
+  /// So many crashes within kCommonCauseSpan that a part doesn't explain have
   /// another common cause, if it explains fewer of them.
   static constexpr int kCommonCauseCrashes = 3;
-  static constexpr Duration kCommonCauseSpan = 25ms;
-  /// Crashes, counted so, that make a part a cause: where the targets are known
-  /// to have gone down, and otherwise. Without that knowledge the connections
-  /// may have been reset.
-  static constexpr int kConfirmedCrashes = 3;
-  static constexpr int kUnconfirmedCrashes = 6;
-  /// Crashes of single targets, at about the same age of the answers, that it
-  /// takes besides where answers had gone on for longer than kEarlyAge. A part
-  /// that many requests have is lost in crashes of every cause.
-  static constexpr int kLateTargets = 5;
-  /// The same where all answers had come equally far (within 5 in 100), and it
-  /// is not known whether the targets went down.
-  static constexpr int kExactCrashes = 5;
-  /// Least shares of a part's crashes that ended answers at about the same age,
-  /// and within the margins of survival. Where targets crash one after the
-  /// other and hardly an answer ends whole, all parts are lost, at every age.
-  static constexpr double kMinSameShare = 0.66;
-  static constexpr double kMinAlikeShare = 0.9;
+  /// Answers lost up to this age were lost early.
   static constexpr Duration kEarlyAge = 50ms;
   /// Crashes that make a part suspicious enough not to retry its requests.
   static constexpr int kSuspectCrashes = 2;
@@ -159,54 +127,6 @@
     std::optional<Instant> lastWhole_;
   };
 
-  /// Counts crashes, added in the order of time, that are not simultaneous.
-  struct CrashCounter
-  {
-    /// Crashes within this time of the first of them count once.
-    Duration span_ = kSimultaneous;
-    int count_ = 0;
-    /// All that were added.
-    int targets_ = 0;
-    /// The first crash of those counted last.
-    std::optional<Instant> first_ = std::nullopt;
-
-    auto Add(Instant aAt) -> void;
-  };
-
-  /// Weighs crashes that ended answers at about the same age, added in the
-  /// order of time. Simultaneous ones weigh 1 together, 1 more if a target is
-  /// known to have gone down, and 1 more if they are further apart than
-  /// kCommonCauseSpan, as a request that is retried crashes one target after
-  /// the other.
-  struct CrashTally
-  {
-    /// All crashes, and those that are not simultaneous.
-    int targets_ = 0;
-    int count_ = 0;
-    int weight_ = 0;
-    /// The first crash of those counted last, and what these weigh.
-    std::optional<Instant> first_;
-    bool hasConfirmed_ = false;
-    bool isSpread_ = false;
-
-    auto Add(const Crash& aCrash) -> void;
-    /// Whether the crashes weigh as much as kConfirmedCrashes confirmed ones.
-    [[nodiscard]] auto IsEnough() const -> bool;
-  };
-
-  /// Crashes that ended answers about as far on as the one that had come
-  /// furthest: within the margins of survival, at about the same age or number
-  /// of events, and at the same but for kExactAgeFactor.
-  struct LateTally
-  {
-    CrashCounter alike_;
-    CrashTally same_;
-    CrashCounter exact_{ kCommonCauseSpan };
-
-    /// Whether the crashes make a part a cause that was lost in so many of all.
-    [[nodiscard]] auto IsEnough(int aAll) const -> bool;
-  };
-
   struct Score
   {
     CrashCounter all_;
@@ -247,17 +167,6 @@
   /// Whether answers that clear the part of the crash have been heard of.
   [[nodiscard]] static auto IsSettled(const Suspicion& aSuspicion, Instant aNow)
     -> bool;
-  /// Adds a crash that ended an answer of that age, of which the oldest was
-  /// aOldest.
-  static auto AddTime(LateTally* aTally,
-                      const Crash& aCrash,
-                      Duration aAge,
-                      Duration aOldest) -> void;
-  /// The same by the number of events.
-  static auto AddEvents(LateTally* aTally,
-                        const Crash& aCrash,
-                        int aEvents,
-                        int aMost) -> void;
   /// The score by the suspect's crashes that aCounts selects.
   template<typename Counts>
   [[nodiscard]] static auto ScoreOf(const Suspect& aSuspect, Counts aCounts)
--- a/src/process/quarantine/part_quarantine.cpp
+++ b/src/process/quarantine/part_quarantine.cpp
@@ -13,7 +13,7 @@
 /// How long evidence that has not changed may still lead to a new judgement: an
 /// event settles, and a crash that it confirms is older.
 constexpr Duration kJudgeTime =
-  CrashEvidence::kLateSettleTime + CrashEvidence::kSimultaneous;
+  CrashEvidence::kLateSettleTime + kSimultaneousCrashSpan;
 
 auto AgeOf(Instant aAt, Instant aNow) -> std::int64_t
 {
--- a/tests/platform/configuration_trust_test.cpp
+++ b/tests/platform/configuration_trust_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/standin/standin_records.h"
 #include "platform/standin/store_standin.h"
 #include "platform/store_source.h"
+#include "support/context_runner.h"
 #include "support/forwarding_fixture.h"
 
 #include <gtest/gtest.h>
@@ -119,12 +120,9 @@
 class ConfigurationTrustTest : public testing::Test
 {
 protected:
-  static constexpr int kPolls = 600;
-
   /// One process of a router; ends with the object.
-  struct Router
+  struct Router : ContextRunner
   {
-    boost::asio::io_context context_{ 1 };
     NiceMock<MockEventLog> log_;
     ConfirmationSink sink_;
     Instant startedAt_ = BootNow();
@@ -147,18 +145,6 @@
       settings.store_.targetInterval_ = 20ms;
       return settings;
     }
-
-    template<typename Condition>
-    auto RunUntil(const Condition& aCondition) -> bool
-    {
-      for (int i = 0; i < kPolls; ++i) {
-        if (aCondition()) {
-          return true;
-        }
-        context_.run_for(std::chrono::milliseconds(10));
-      }
-      return false;
-    }
   };
 
   StoreStandin store_{ kStorePort };
--- a/tests/platform/quarantine_store_test.cpp
+++ b/tests/platform/quarantine_records_test.cpp
@@ -1,6 +1,7 @@
-#include "platform/quarantine_store.h"
+#include "platform/quarantine_records.h"
 
 #include "platform/standin/store_standin.h"
+#include "support/context_runner.h"
 #include "support/forwarding_fixture.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -57,16 +58,15 @@
 };
 
 /// The quarantines of a router before a stand-in of the store.
-class QuarantineStoreTest : public testing::Test
+class QuarantineRecordsTest
+  : public testing::Test
+  , protected ContextRunner
 {
 protected:
-  static constexpr int kPolls = 600;
-
   StoreStandin store_{ kStorePort };
-  boost::asio::io_context context_{ 1 };
   NiceMock<MockEventLog> log_;
   NiceMock<MockSink> sink_;
-  QuarantineStore quarantines_{
+  QuarantineRecords quarantines_{
     &context_, { "127.0.0.1", kStorePort }, &sink_, &log_
   };
   std::vector<PartIds> restored_;
@@ -94,21 +94,9 @@
   {
     return store_.NewestValue(kTopic, QuarantineKey(kQuarantine.parts_));
   }
-
-  template<typename Condition>
-  auto RunUntil(const Condition& aCondition) -> bool
-  {
-    for (int i = 0; i < kPolls; ++i) {
-      if (aCondition()) {
-        return true;
-      }
-      context_.run_for(std::chrono::milliseconds(10));
-    }
-    return false;
-  }
 };
 
-TEST_F(QuarantineStoreTest, StoredOnesAreReadAtTheStart)
+TEST_F(QuarantineRecordsTest, StoredOnesAreReadAtTheStart)
 {
   PutStored({ 3 });
   PutStored({ 4, 5 });
@@ -121,7 +109,7 @@
   EXPECT_EQ(quarantines_.Calls(), calls) << "reads are priced";
 }
 
-TEST_F(QuarantineStoreTest, ChangesAreWrittenAndDeleted)
+TEST_F(QuarantineRecordsTest, ChangesAreWrittenAndDeleted)
 {
   Start();
   quarantines_.Store({ kQuarantine, true });
@@ -131,7 +119,7 @@
 }
 
 // The process starts, or a part is found, while the store is away.
-TEST_F(QuarantineStoreTest, OutageOnlyDelaysReadsAndWrites)
+TEST_F(QuarantineRecordsTest, OutageOnlyDelaysReadsAndWrites)
 {
   PutStored({ 3 });
   store_.SetFault(StoreFault::kDown);
@@ -146,7 +134,7 @@
 }
 
 // An append whose answer is lost is made again, and a newer value goes last.
-TEST_F(QuarantineStoreTest, LostAnswerLeavesTheNewestValue)
+TEST_F(QuarantineRecordsTest, LostAnswerLeavesTheNewestValue)
 {
   Start();
   ASSERT_TRUE(RunUntil([&] { return quarantines_.Calls() > 0; }));
@@ -159,7 +147,7 @@
 }
 
 // The first write takes effect only after the newer one.
-TEST_F(QuarantineStoreTest, WriteThatIsExecutedLateIsWrittenOver)
+TEST_F(QuarantineRecordsTest, WriteThatIsExecutedLateIsWrittenOver)
 {
   Start();
   ASSERT_TRUE(RunUntil([&] { return quarantines_.Calls() > 0; }));
--- a/tests/platform/store_source_test.cpp
+++ b/tests/platform/store_source_test.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/standin/standin_records.h"
 #include "platform/standin/store_standin.h"
+#include "support/context_runner.h"
 #include "support/forwarding_fixture.h"
 
 #include <gtest/gtest.h>
@@ -100,13 +101,12 @@
 };
 
 /// The source of a real router's lists before a stand-in of the store.
-class StoreSourceTest : public testing::Test
+class StoreSourceTest
+  : public testing::Test
+  , protected ContextRunner
 {
 protected:
-  static constexpr int kPolls = 600;
-
   StoreStandin store_{ kStorePort };
-  boost::asio::io_context context_{ 1 };
   NiceMock<MockEventLog> log_;
   RecordingSink sink_;
   std::unique_ptr<StoreSource> source_;
@@ -142,18 +142,6 @@
   {
     store_.Put(kTargets, EncodeStandinTarget({ aName, "z", 24199 }));
   }
-
-  template<typename Condition>
-  auto RunUntil(const Condition& aCondition) -> bool
-  {
-    for (int i = 0; i < kPolls; ++i) {
-      if (aCondition()) {
-        return true;
-      }
-      context_.run_for(std::chrono::milliseconds(10));
-    }
-    return false;
-  }
 };
 
 TEST_F(StoreSourceTest, OffsetsThatAreGivenOutAgainSkipNoRecord)
--- a/tests/process/quarantine/crash_evidence_test.cpp
+++ b/tests/process/quarantine/crash_evidence_test.cpp
@@ -97,7 +97,7 @@
 // A crash ends answers with a popular part at every age.
 TEST_F(CrashEvidenceTest, LateCrashesNeedMoreEvidence)
 {
-  for (int i = 0; i < CrashEvidence::kLateTargets; ++i) {
+  for (int i = 0; i < LateTally::kSameCrashes; ++i) {
     EXPECT_TRUE(Causes(9s).empty()) << i;
     CrashIn(TargetId{ i }, { 7 }, 500ms, 1s + i * 1s);
   }
@@ -184,7 +184,7 @@
 // How far into an answer a part crashes targets is not known.
 TEST_F(CrashEvidenceTest, OldAnswersAreEvidenceToo)
 {
-  for (int i = 0; i < CrashEvidence::kLateTargets; ++i) {
+  for (int i = 0; i < LateTally::kSameCrashes; ++i) {
     EXPECT_TRUE(Causes(59s).empty()) << i;
     CrashIn(TargetId{ i }, { 7 }, 8s, 10s + i * 9s);
   }
@@ -274,7 +274,7 @@
 
 TEST_F(CrashEvidenceTest, LostConnectionsAloneNeedMoreEvidence)
 {
-  for (int i = 0; i < CrashEvidence::kUnconfirmedCrashes; ++i) {
+  for (int i = 0; i < LateTally::kAlikeCrashes; ++i) {
     EXPECT_TRUE(Causes(9s).empty()) << i;
     evidence_.AddLoss(TargetId{ i }, { 7 }, std::nullopt, 1s + i * 1s);
   }
@@ -283,7 +283,7 @@
 
 TEST_F(CrashEvidenceTest, RefusedConnectionKnownBeforeTheLossConfirmsIt)
 {
-  for (int i = 0; i < CrashEvidence::kConfirmedCrashes; ++i) {
+  for (int i = 0; i < CrashTally::kConfirmedCrashes; ++i) {
     evidence_.AddDown(TargetId{ i }, 1200ms + i * 1s);
     evidence_.AddLoss(TargetId{ i }, { 7 }, std::nullopt, 1s + i * 1s);
   }
@@ -308,12 +308,12 @@
 // second one lacked evidence.
 TEST_F(CrashEvidenceTest, KnownCauseExplainsNoCrashBeforeItsUsualAge)
 {
-  for (int i = 0; i < CrashEvidence::kLateTargets; ++i) {
+  for (int i = 0; i < LateTally::kSameCrashes; ++i) {
     CrashIn(TargetId{ i }, { 7 }, 300ms, 1s + i * 1s);
   }
   const auto known = Causes(9s);
   EXPECT_EQ(known, (std::vector<PartIds>{ { 7 } }));
-  for (int i = 0; i < CrashEvidence::kLateTargets; ++i) {
+  for (int i = 0; i < LateTally::kSameCrashes; ++i) {
     const TargetId target{ 10 + i };
     CrashIn(target, { 7 }, 100ms, 11s + i * 1s);
     CrashIn(target, { 8 }, 300ms, 11s + i * 1s);
--- a/tests/process/quarantine/part_quarantine_test.cpp
+++ b/tests/process/quarantine/part_quarantine_test.cpp
@@ -25,7 +25,7 @@
   /// Three crashes with a deadly part, seen by this router.
   auto Impose(PartQuarantine* aQuarantine) -> void
   {
-    for (int i = 0; i < CrashEvidence::kConfirmedCrashes; ++i) {
+    for (int i = 0; i < CrashTally::kConfirmedCrashes; ++i) {
       const auto at = 1s + i * 1s;
       aQuarantine->OnLost(TargetId{ i }, kParts, std::nullopt, at);
       aQuarantine->OnAnswer({ 3 }, WholeAt(at + 100ms));
@@ -297,7 +297,7 @@
 TEST_F(PartQuarantineTest, ProgressOfAnswersReachesTheLeads)
 {
   PartQuarantine lead(&log_);
-  for (int i = 0; i < CrashEvidence::kConfirmedCrashes; ++i) {
+  for (int i = 0; i < CrashTally::kConfirmedCrashes; ++i) {
     const auto at = 1s + i * 1s;
     quarantine_.OnLost(TargetId{ i }, kParts, LostAnswer{ 40ms }, at);
     quarantine_.OnDown(TargetId{ i }, at + 10ms);
