--- a/tests/main/withheld_answer_test.cpp
+++ b/tests/main/withheld_answer_test.cpp
@@ -50,7 +50,8 @@
     });
   }
 
-  auto Configure(StandinConfiguration* aConfiguration) -> void override
+  auto ExtendConfiguration(StandinConfiguration* aConfiguration)
+    -> void override
   {
     StandinRoute route{ kUnresumableRoute, RouteKind::kStream, true, 3 };
     route.resumable_ = false;
--- a/tests/support/forward_process.h
+++ b/tests/support/forward_process.h
@@ -87,7 +87,7 @@
     configuration.routes_[1].public_ = true;
     configuration.routes_[1].maxAttempts_ = attemptsOfUnsafe_;
     configuration.routes_[2].public_ = true;
-    Configure(&configuration);
+    ExtendConfiguration(&configuration);
     store_.Put(std::string(kStandinConfigurationTopic),
                EncodeStandinConfiguration(configuration));
     const std::string targets(kStandinTargetTopic);
@@ -97,7 +97,10 @@
   }
 
   /// What a test's configuration has besides.
-  virtual auto Configure(StandinConfiguration* /*aConfiguration*/) -> void {}
+  virtual auto ExtendConfiguration(StandinConfiguration* /*aConfiguration*/)
+    -> void
+  {
+  }
 
   static auto ReadyStatus() -> std::string
   {
