--- a/src/process/quarantine/crash_evidence.h
+++ b/src/process/quarantine/crash_evidence.h
@@ -107,9 +107,9 @@
     int answerEvents_ = 0;
     /// Whether the crash ended a request with the part before its answer began.
     bool beforeAnswer_ = false;
-    /// Whether an answer with the part was whole after the crash, and the
-    /// oldest one that was seen to go on after it. Kept, as an older answer
-    /// that the crash ended may become known later.
+    /// Whether an answer with the part was whole after the crash, and one that
+    /// went on after it: one that outlives the lost one, or else the oldest.
+    /// Kept, as an older answer that the crash ended may become known later.
     bool isWholeSince_ = false;
     LostAnswer survivor_;
 
