MIXED: a reset is no end of an answer without a length

What callers saw: a target answered a long upload at once with 200 and no length, sent a part and reset the connection. Callers got the part as a complete answer, on unsafe, safe and stream routes.

Cause: the system tells of a connection's failure once, to the first call; reads behind it find the end of the stream. TargetConnection dropped the error that its write got, and that of the second, direct read behind a full buffer, so the reset looked like an orderly end. Without any upload, bytes that filled the buffers exactly (1,024 or 18,432) did the same.

Change: every call's error is noted in one place, and the end of an answer without a length is believed only where none was noted. A broken pipe does not count: the kernel reports a reset that cut off what was to be received as such, and a broken pipe only if the target had ended its side in order before. A connection with any noted error is not kept for another request; one whose failure came with a whole answer was offered once more before.

The scripted target can answer at the header. A comment in CallerConnection repeated the wrong belief about errors; there any error ends the connection.

--- a/src/connection/caller_connection.cpp
+++ b/src/connection/caller_connection.cpp
@@ -125,7 +125,7 @@
   auto& shared = port_->Memory().SharedReadBuffer();
   std::size_t more = 0;
   if (aBytes == first_.size() && !pausedSince_) {
-    // An error comes again with the next read.
+    // After an error the next read finds the end of the stream at least.
     boost::system::error_code ignored;
     more = socket_.read_some(asio::buffer(shared), ignored);
   }
--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -47,6 +47,21 @@
 
 } // namespace
 
+auto TargetConnection::NoteError(const boost::system::error_code& aError)
+  -> void
+{
+  if (!aError || aError == asio::error::would_block) {
+    return;
+  }
+  mayKeep_ = false;
+  // A broken pipe concerns the sending side alone: where a reset cut off what
+  // was to be received, a call is told of the reset before.
+  if (!failure_ && aError != asio::error::eof &&
+      aError != asio::error::broken_pipe) {
+    failure_ = aError;
+  }
+}
+
 auto TargetConnection::Read() -> void
 {
   if (reading_ || paused_ || state_ == State::kClosed) {
@@ -73,17 +88,18 @@
     Cancel();
     return;
   }
+  NoteError(aError);
   if (aError) {
-    OnConnectionEnd(aError);
+    OnConnectionEnd(failure_ ? failure_ : aError);
     return;
   }
   inbound_.append(first_.data(), aBytes);
   if (aBytes == first_.size() && !paused_) {
-    // An error comes again with the next read.
-    boost::system::error_code ignored;
+    boost::system::error_code error;
     auto& shared = memory_->SharedReadBuffer();
     inbound_.append(shared.data(),
-                    socket_.read_some(asio::buffer(shared), ignored));
+                    socket_.read_some(asio::buffer(shared), error));
+    NoteError(error);
   }
   Parse();
   if (inbound_.empty()) {
@@ -105,9 +121,7 @@
       self->writing_ = false;
       self->body_.reset();
       // The target may have rejected the rest and still send its answer.
-      if (aError) {
-        self->mayKeep_ = false;
-      }
+      self->NoteError(aError);
     });
 }
 
--- a/src/connection/target_connection.h
+++ b/src/connection/target_connection.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/system/error_code.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -89,6 +90,9 @@
   bool isRefused_ = false;
   /// Whether the target's VM acknowledged nothing for too long.
   bool timedOut_ = false;
+  /// The failure that a call was told of. The system tells it once, to the
+  /// first call; later reads find no more than the end of the stream.
+  boost::system::error_code failure_;
   bool writing_ = false;
   bool reading_ = false;
   bool answering_ = false;
@@ -102,6 +106,8 @@
   /// How long the target keeps an idle connection.
   Duration idleLife_;
 
+  /// Takes note of an error of any call on the socket.
+  auto NoteError(const boost::system::error_code& aError) -> void;
   auto Read() -> void;
   auto OnRead(const boost::system::error_code& aError, std::size_t aBytes)
     -> void;
--- a/src/standin/scripted_target.cpp
+++ b/src/standin/scripted_target.cpp
@@ -45,6 +45,12 @@
   return answer;
 }
 
+auto ScriptedTarget::AwaitedBytes(const std::string& aHeader) -> std::size_t
+{
+  const std::lock_guard lock(mutex_);
+  return aHeader.size() + (answersAtHeads_ ? 0 : BodyLength(aHeader));
+}
+
 auto ScriptedTarget::ServeOne(asio::ip::tcp::socket aSocket)
   -> asio::awaitable<void>
 {
@@ -60,7 +66,7 @@
     if (error) {
       co_return;
     }
-    const auto length = header + BodyLength(buffer.substr(0, header));
+    const auto length = AwaitedBytes(buffer.substr(0, header));
     if (buffer.size() < length) {
       co_await asio::async_read(aSocket, asio::dynamic_buffer(buffer),
                                 asio::transfer_exactly(length - buffer.size()),
@@ -127,6 +133,12 @@
   keepsRequests_ = false;
 }
 
+auto ScriptedTarget::AnswerAtHeads() -> void
+{
+  const std::lock_guard lock(mutex_);
+  answersAtHeads_ = true;
+}
+
 auto RawField(const std::string& aMessage, const std::string& aName)
   -> std::string
 {
--- a/src/standin/scripted_target.h
+++ b/src/standin/scripted_target.h
@@ -48,11 +48,14 @@
   Script script_;
   std::vector<std::string> requests_;
   bool keepsRequests_ = true;
+  bool answersAtHeads_ = false;
 
   auto Serve() -> boost::asio::awaitable<void>;
   auto ServeOne(boost::asio::ip::tcp::socket aSocket)
     -> boost::asio::awaitable<void>;
   auto TakeAnswer(std::string aRequest) -> ScriptedAnswer;
+  /// Bytes of the request that are read before it is answered.
+  auto AwaitedBytes(const std::string& aHeader) -> std::size_t;
 
 public:
   explicit ScriptedTarget(std::uint16_t aPort);
@@ -63,6 +66,9 @@
   auto TakeRequests() -> std::vector<std::string>;
   /// Forgets requests at once, for long runs.
   auto KeepNoRequests() -> void;
+  /// Answers a request as soon as its header has come; its body is not read, so
+  /// the answer must end the connection.
+  auto AnswerAtHeads() -> void;
 };
 
 /// The value of a header field in the raw bytes of a message, or empty.
