MIXED: a status outside of 100 to 599 begins no answer

What callers saw: a target's answer with the status 600, 700 or 999 reached them as it was. With 000, 001, 099, or 101 that nobody had asked for, on a connection that stayed open, they waited until their deadline and got 504.

Cause: the parser takes any three digits. The router passed on what was 200 or more, and took anything below for an interim head behind which the answer comes.

Change: the reader of answers takes no status but those that RFC 9110 has classes for, nor a switch of protocols, which the router never asks for. Both are bytes that are no answer: the connection is closed, and the request fails or goes elsewhere as after any broken answer.

--- a/src/base/http_fields.h
+++ b/src/base/http_fields.h
@@ -30,6 +30,18 @@
 /// `aConnection` is the value of the message's Connection field, or empty.
 auto IsHopByHop(std::string_view aName, std::string_view aConnection) -> bool;
 
+/// Whether a status can begin an answer: RFC 9110 defines the classes 100 to
+/// 599. 101 answers only a request to switch protocols, which the router never
+/// makes.
+constexpr auto IsAnswerStatus(int aStatus) -> bool
+{
+  constexpr int kFirst = 100;
+  constexpr int kSwitchingProtocols = 101;
+  constexpr int kLast = 599;
+  return aStatus >= kFirst && aStatus <= kLast &&
+         aStatus != kSwitchingProtocols;
+}
+
 } // namespace burdockring
 
 #endif
--- a/src/connection/message_reader.h
+++ b/src/connection/message_reader.h
@@ -132,8 +132,11 @@
   auto on_response_impl(int aStatus,
                         View /*aReason*/,
                         int aVersion,
-                        Error& /*aError*/) -> void override
+                        Error& aError) -> void override
   {
+    if (!IsAnswerStatus(aStatus)) {
+      aError = boost::beast::http::error::bad_status;
+    }
     head_.status_ = aStatus;
     head_.minorVersion_ = aVersion % kMinorOfVersion;
   }
