--- a/src/base/http_fields.h
+++ b/src/base/http_fields.h
@@ -42,6 +42,10 @@
          aStatus != kSwitchingProtocols;
 }
 
+/// Whether the program decodes a message with this value of Transfer-Encoding:
+/// of chunks alone. Of other codings it knows neither the body nor its end.
+auto IsKnownTransferCoding(std::string_view aValue) -> bool;
+
 } // namespace burdockring
 
 #endif
--- a/src/connection/caller_connection.cpp
+++ b/src/connection/caller_connection.cpp
@@ -247,7 +247,7 @@
 {
   const auto& fields = reader_->Head().fields_;
   const auto* coding = FindField(fields, "Transfer-Encoding");
-  if (coding != nullptr && !IsSameFieldName(*coding, "chunked")) {
+  if (coding != nullptr && !IsKnownTransferCoding(*coding)) {
     return kNotImplemented;
   }
   const auto* length = FindField(fields, "Content-Length");
--- a/src/connection/message_reader.h
+++ b/src/connection/message_reader.h
@@ -140,7 +140,7 @@
     head_.status_ = aStatus;
     head_.minorVersion_ = aVersion % kMinorOfVersion;
   }
-  auto on_field_impl(boost::beast::http::field /*aField*/,
+  auto on_field_impl(boost::beast::http::field aField,
                      View aName,
                      View aValue,
                      Error& aError) -> void override
@@ -153,6 +153,13 @@
       aError = boost::beast::http::error::header_limit;
       return;
     }
+    // The server answers requests with other codings itself.
+    if (!kIsRequest && aField == boost::beast::http::field::transfer_encoding &&
+        !IsKnownTransferCoding(
+          std::string_view(aValue.data(), aValue.size()))) {
+      aError = boost::beast::http::error::bad_transfer_encoding;
+      return;
+    }
     headBytes_ += sizeof(HttpField) + aName.size() + aValue.size();
     head_.fields_.push_back({ std::string(aName), std::string(aValue) });
   }
--- a/tests/support/broken_answers.h
+++ b/tests/support/broken_answers.h
@@ -39,6 +39,43 @@
   return answers;
 }
 
+/// Transfer codings that the router does not know, or that leave the end of
+/// the body open.
+inline auto BrokenCodings(const std::string& aFields) -> BrokenAnswers
+{
+  const std::string chunks = "5\r\nwrong\r\n0\r\n\r\n";
+  const auto answer = [&](const std::string& aName, const std::string& aCodings,
+                          const std::string& aBody) {
+    return BrokenAnswer{ aName, "HTTP/1.1 200 OK\r\n" + aFields + aCodings +
+                                  "\r\n" + aBody };
+  };
+  const std::string name = "Transfer-Encoding: ";
+  return {
+    answer("Gzip", name + "gzip\r\n", "wrong"),
+    answer("GzipInChunks", name + "gzip, chunked\r\n", chunks),
+    answer("GzipInChunksByTwoFields", name + "gzip\r\n" + name + "chunked\r\n",
+           chunks),
+    answer("ChunksInGzip", name + "chunked, gzip\r\n", chunks),
+    answer("ChunksInGzipByTwoFields", name + "chunked\r\n" + name + "gzip\r\n",
+           chunks),
+    answer("ChunksInChunks", name + "chunked, chunked\r\n", chunks),
+    answer("ChunksInChunksByTwoFields",
+           name + "chunked\r\n" + name + "chunked\r\n", chunks),
+    answer("Identity", name + "identity\r\n", "wrong"),
+    answer("IdentityAndLength", name + "identity\r\nContent-Length: 5\r\n",
+           "wrong"),
+    answer("LengthAndGzip", "Content-Length: 5\r\n" + name + "gzip\r\n",
+           "wrong"),
+    answer("UnknownCoding", name + "x-other\r\n", "wrong"),
+    answer("NoCoding", name + "\r\n", "wrong"),
+    answer("ChunksWithParameter", name + "chunked;q=1\r\n", chunks),
+    answer("LengthAndChunks", "Content-Length: 5\r\n" + name + "chunked\r\n",
+           chunks),
+    answer("ChunksAndLength", name + "chunked\r\nContent-Length: 5\r\n",
+           chunks),
+  };
+}
+
 /// Lines of a head that are no fields, each in the middle and last.
 inline auto BrokenFields(const std::string& aFields) -> BrokenAnswers
 {
@@ -128,8 +165,8 @@
 inline auto AllBrokenAnswers(const std::string& aFields) -> BrokenAnswers
 {
   BrokenAnswers all;
-  for (const auto& part : { BrokenStatuses(aFields), BrokenFields(aFields),
-                            BrokenLengths(aFields) }) {
+  for (const auto& part : { BrokenStatuses(aFields), BrokenCodings(aFields),
+                            BrokenFields(aFields), BrokenLengths(aFields) }) {
     all.insert(all.end(), part.begin(), part.end());
   }
   return all;
