--- a/src/connection/exchange.cpp
+++ b/src/connection/exchange.cpp
@@ -12,6 +12,8 @@
 
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 
 auto IsSuccess(int aStatus) -> bool
 {
@@ -99,6 +101,20 @@
   gatheredCharge_.Set(gathered_.capacity() + events_.RestMemory());
 }
 
+auto Exchange::IsBodiless(int aStatus) const -> bool
+{
+  return head_.method_ == "HEAD" || aStatus == kNoContent ||
+         aStatus == kNotModified;
+}
+
+auto Exchange::AppendStatedLength(std::string* aText) const -> void
+{
+  const auto length = FieldValue(answer_.fields_, "Content-Length");
+  if (answer_.status_ != kNoContent && !length.empty()) {
+    AppendField(aText, "Content-Length", length);
+  }
+}
+
 auto Exchange::BeginAnswer(bool aWithLength) -> void
 {
   begun_ = true;
@@ -111,14 +127,17 @@
       AppendField(&text, field.name_, field.value_);
     }
   }
-  if (aWithLength) {
+  const bool isBodiless = IsBodiless(answer_.status_);
+  if (isBodiless) {
+    AppendStatedLength(&text);
+  } else if (aWithLength) {
     AppendField(&text, "Content-Length", std::to_string(gathered_.size()));
   } else if (writer_->TakesChunks()) {
     AppendField(&text, "Transfer-Encoding", "chunked");
   }
   AppendConnection(&text);
   text += "\r\n";
-  if (aWithLength) {
+  if (aWithLength && !isBodiless) {
     text += gathered_;
   }
   writer_->Write(std::move(text));
@@ -330,7 +349,8 @@
   AppendField(&text, "Content-Type", "application/json");
   AppendField(&text, "Content-Length", std::to_string(body.size()));
   AppendConnection(&text);
-  writer_->Write(text + "\r\n" + body);
+  text += "\r\n";
+  writer_->Write(IsBodiless(aEffect.status_) ? text : text + body);
   writer_->Finish();
 }
 
@@ -401,8 +421,9 @@
     mode_ = Mode::kWithheld;
     return true;
   }
-  mode_ =
-    !isStream_ || !IsSuccess(aHead.status_) ? Mode::kGather : Mode::kEvents;
+  const bool hasEvents =
+    isStream_ && IsSuccess(aHead.status_) && !IsBodiless(answer_.status_);
+  mode_ = hasEvents ? Mode::kEvents : Mode::kGather;
   return true;
 }
 
--- a/src/connection/exchange.h
+++ b/src/connection/exchange.h
@@ -131,6 +131,10 @@
   [[nodiscard]] auto GatherLimit() const -> std::size_t;
   auto ChargeGathered() -> void;
   auto Take(std::string aBody) -> void;
+  /// Whether an answer with this status ends with its head (RFC 9110, 6.4.1).
+  [[nodiscard]] auto IsBodiless(int aStatus) const -> bool;
+  /// Adds the length that the target stated for a body that it doesn't send.
+  auto AppendStatedLength(std::string* aText) const -> void;
   auto BeginAnswer(bool aWithLength) -> void;
   /// Adds the Connection field if the connection closes after this answer.
   auto AppendConnection(std::string* aText) -> void;
