LOST, MIXED: an answer to HEAD ends with its head

What callers saw: an answer to HEAD that bore a length or chunks, as it should, was waited for until the deadline: 504. So was one without a length on a connection that stayed open.

Cause: the reader of answers did not know the request's method. Besides, a connection was kept behind a 204 or 304 that stated a body: if the body came all the same, the next request would have had it for its answer.

Change: the reader is told to expect no body for HEAD, also behind interim heads. A connection whose last answer stated a body that it may not have is not kept. What RFC 9110 and 9112 say of statuses and codings stands in one file.

--- a/src/base/http_fields.cpp
+++ b/src/base/http_fields.cpp
@@ -54,11 +54,6 @@
   return false;
 }
 
-auto IsKnownTransferCoding(std::string_view aValue) -> bool
-{
-  return boost::algorithm::iequals(aValue, "chunked");
-}
-
 auto IsHopByHop(std::string_view aName, std::string_view aConnection) -> bool
 {
   const auto matchesName = [&](std::string_view aOther) {
--- a/src/base/http_fields.h
+++ b/src/base/http_fields.h
@@ -30,22 +30,6 @@
 /// `aConnection` is the value of the message's Connection field, or empty.
 auto IsHopByHop(std::string_view aName, std::string_view aConnection) -> bool;
 
-/// Whether a status can begin an answer: RFC 9110 defines the classes 100 to
-/// 599. 101 answers only a request to switch protocols, which the router never
-/// makes.
-constexpr auto IsAnswerStatus(int aStatus) -> bool
-{
-  constexpr int kFirst = 100;
-  constexpr int kSwitchingProtocols = 101;
-  constexpr int kLast = 599;
-  return aStatus >= kFirst && aStatus <= kLast &&
-         aStatus != kSwitchingProtocols;
-}
-
-/// Whether the program decodes a message with this value of Transfer-Encoding:
-/// of chunks alone. Of other codings it knows neither the body nor its end.
-auto IsKnownTransferCoding(std::string_view aValue) -> bool;
-
 } // namespace burdockring
 
 #endif
--- a/src/connection/caller_connection.cpp
+++ b/src/connection/caller_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "adapter/tcp_options.h"
 #include "base/boot_clock.h"
+#include "base/http_rules.h"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
--- a/src/connection/exchange.cpp
+++ b/src/connection/exchange.cpp
@@ -1,6 +1,7 @@
 #include "connection/exchange.h"
 
 #include "base/boot_clock.h"
+#include "base/http_rules.h"
 
 #include <algorithm>
 #include <boost/beast/http/status.hpp>
@@ -13,7 +14,6 @@
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 
 auto IsSuccess(int aStatus) -> bool
 {
@@ -103,8 +103,7 @@
 
 auto Exchange::IsBodiless(int aStatus) const -> bool
 {
-  return head_.method_ == "HEAD" || aStatus == kNoContent ||
-         aStatus == kNotModified;
+  return head_.method_ == "HEAD" || IsBodilessStatus(aStatus);
 }
 
 auto Exchange::AppendStatedLength(std::string* aText) const -> void
--- a/src/connection/message_reader.h
+++ b/src/connection/message_reader.h
@@ -2,6 +2,7 @@
 #define BURDOCKRING_CONNECTION_MESSAGE_READER_H
 
 #include "base/http_fields.h"
+#include "base/http_rules.h"
 
 #include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "adapter/tcp_options.h"
 #include "base/boot_clock.h"
+#include "base/http_rules.h"
 
 #include <algorithm>
 #include <array>
@@ -159,6 +160,20 @@
   }
 }
 
+auto TargetConnection::StartReader() -> void
+{
+  reader_.emplace(kHeaderLimit, UINT64_MAX);
+  reader_->skip(isHeadRequest_);
+}
+
+auto TargetConnection::StatesExcludedBody() const -> bool
+{
+  const bool isExcluded =
+    isHeadRequest_ || IsBodilessStatus(reader_->Head().status_);
+  return isExcluded &&
+         (reader_->chunked() || reader_->content_length().value_or(0) > 0);
+}
+
 auto TargetConnection::OnHead() -> bool
 {
   const auto& head = reader_->Head();
@@ -174,7 +189,7 @@
   if (const auto life = KeepAliveTimeout(head.fields_)) {
     idleLife_ = *life;
   }
-  if (!reader_->keep_alive() || reader_->need_eof()) {
+  if (!reader_->keep_alive() || reader_->need_eof() || StatesExcludedBody()) {
     mayKeep_ = false;
   }
   const bool ours = listener->OnHead(attempt_, head, isReused_);
@@ -194,7 +209,7 @@
   if (skipping_) {
     skipping_ = false;
     ++skippedHeads_;
-    reader_.emplace(kHeaderLimit, UINT64_MAX);
+    StartReader();
     return;
   }
   const auto listener = listener_.lock();
@@ -308,10 +323,11 @@
                             std::weak_ptr<AttemptListener> aListener) -> void
 {
   attempt_ = aAttempt;
+  isHeadRequest_ = aHead.starts_with("HEAD ");
   outbound_ = std::move(aHead);
   body_ = std::move(aBody);
   listener_ = std::move(aListener);
-  reader_.emplace(kHeaderLimit, UINT64_MAX);
+  StartReader();
   answering_ = false;
   skipping_ = false;
   skippedBytes_ = 0;
--- a/src/connection/target_connection.h
+++ b/src/connection/target_connection.h
@@ -82,6 +82,8 @@
   std::optional<AnswerReader> reader_;
   std::weak_ptr<AttemptListener> listener_;
   int attempt_ = 0;
+  /// Whether the answer ends with its head, whatever the head states.
+  bool isHeadRequest_ = false;
   State state_ = State::kConnecting;
   bool sent_ = false;
   /// Whether the connection has served other attempts.
@@ -113,7 +115,12 @@
     -> void;
   auto Write() -> void;
   auto Parse() -> void;
+  /// Prepares to read a head, and what belongs to it, from its beginning.
+  auto StartReader() -> void;
   auto OnHead() -> bool;
+  /// Whether a body may follow that the reader does not expect: the head states
+  /// one, though its status or the request's method excludes it.
+  [[nodiscard]] auto StatesExcludedBody() const -> bool;
   auto OnMessageEnd() -> void;
   auto OnConnectionEnd(const boost::system::error_code& aError) -> void;
   auto Break(std::string_view aCause) -> void;
--- a/tests/connection/target_connection_test.cpp
+++ b/tests/connection/target_connection_test.cpp
@@ -85,7 +85,8 @@
 
   /// Sends a request with a body of this size, of which the target has read no
   /// more than the beginning.
-  auto SendRequest(std::size_t aBodyBytes) -> void
+  auto SendRequest(std::size_t aBodyBytes, const std::string& aMethod = "POST")
+    -> void
   {
     connection_ = std::make_shared<TargetConnection>(
       &context_, &memory_,
@@ -94,11 +95,11 @@
         wasIdle_ =
           wasIdle_ || aConnection->GetState() == TargetConnection::State::kIdle;
       });
-    connection_->Send(
-      kAttempt,
-      "POST /x HTTP/1.1\r\nContent-Length: " + std::to_string(aBodyBytes) +
-        "\r\n\r\n",
-      std::make_shared<const std::string>(aBodyBytes, 'u'), listener_);
+    connection_->Send(kAttempt,
+                      aMethod + " /x HTTP/1.1\r\nContent-Length: " +
+                        std::to_string(aBodyBytes) + "\r\n\r\n",
+                      std::make_shared<const std::string>(aBodyBytes, 'u'),
+                      listener_);
     connection_->Open();
     ASSERT_TRUE(RunUntil([&] { return listener_->isSent_; }));
     acceptor_.accept(target_);
@@ -303,5 +304,65 @@
                          UnframedAnswerTest,
                          testing::Values("HTTP/1.1", "HTTP/1.0"));
 
+/// An answer that ends with its head.
+struct HeadOnlyAnswer
+{
+  const char* name_;
+  const char* method_;
+  const char* head_;
+  bool isKept_;
+};
+
+auto operator<<(std::ostream& aStream, const HeadOnlyAnswer& aCase)
+  -> std::ostream&
+{
+  return aStream << aCase.name_;
+}
+
+class HeadOnlyAnswerTest
+  : public TargetConnectionTest
+  , public testing::WithParamInterface<HeadOnlyAnswer>
+{
+};
+
+// A body that the head states and may not have can still come, and would be
+// read as the next request's answer.
+TEST_P(HeadOnlyAnswerTest, IsKeptUnlessItStatesABody)
+{
+  SendRequest(0, GetParam().method_);
+  Answer(std::string(GetParam().head_) + "\r\n");
+  EXPECT_EQ(AwaitVerdict(), Verdict::kWhole);
+  EXPECT_EQ(listener_->body_, "");
+  EXPECT_EQ(wasIdle_, GetParam().isKept_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Answers,
+  HeadOnlyAnswerTest,
+  testing::Values(
+    HeadOnlyAnswer{ "Head", "HEAD", "HTTP/1.1 200 OK\r\n", true },
+    HeadOnlyAnswer{ "HeadWithLength", "HEAD",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n", false },
+    HeadOnlyAnswer{ "HeadWithChunks", "HEAD",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+                    false },
+    HeadOnlyAnswer{ "HeadBehindInterimHead", "HEAD",
+                    "HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 200 OK\r\n"
+                    "Content-Length: 5\r\n",
+                    false },
+    HeadOnlyAnswer{ "NoContent", "POST", "HTTP/1.1 204 No\r\n", true },
+    HeadOnlyAnswer{ "NoContentOfLengthZero", "POST",
+                    "HTTP/1.1 204 No\r\nContent-Length: 0\r\n", true },
+    HeadOnlyAnswer{ "NoContentWithLength", "POST",
+                    "HTTP/1.1 204 No\r\nContent-Length: 5\r\n", false },
+    HeadOnlyAnswer{ "NoContentWithChunks", "POST",
+                    "HTTP/1.1 204 No\r\nTransfer-Encoding: chunked\r\n",
+                    false },
+    HeadOnlyAnswer{ "NotModifiedWithLength", "POST",
+                    "HTTP/1.1 304 Not\r\nContent-Length: 5\r\n", false }),
+  [](const testing::TestParamInfo<HeadOnlyAnswer>& aInfo) {
+    return std::string(aInfo.param.name_);
+  });
+
 } // namespace
 } // namespace burdockring
