Other readers of answers take no broken heads, and skip interim ones

What callers saw: on the own interface, an answer of a target with the status 600, or in an unknown transfer coding, passed as the target's whole answer; so did an interim head (1xx) that bore the request's id. To the log's and the store's clients, an append answered so was one that had not been done: it may have been.

Cause: the parser's errors were taken for the whole check, in five places, and the first head for that of the answer.

Scripted targets can listen on any free port, so that these tests run beside others.

--- a/src/adapter/http_fetch.cpp
+++ b/src/adapter/http_fetch.cpp
@@ -1,5 +1,7 @@
 #include "adapter/http_fetch.h"
 
+#include "adapter/read_answer.h"
+
 #include "absl/status/status.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -17,7 +19,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-constexpr std::size_t kMaxReplyBytes = 64U << 20U;
+constexpr std::uint64_t kMaxReplyBytes = 64U << 20U;
 constexpr auto kHttpVersion = 11;
 
 auto Failure(const beast::error_code& aError, const char* aStep) -> absl::Status
@@ -81,14 +83,18 @@
     co_return Failure(writeError, "write");
   }
   beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxReplyBytes);
+  std::optional<http::response_parser<http::string_body>> parser;
+  const auto headError =
+    co_await ReadAnswerHead(&stream, &buffer, &parser, kMaxReplyBytes);
+  if (headError) {
+    co_return Failure(headError, "read");
+  }
   const auto [readError, read] =
-    co_await http::async_read(stream, buffer, parser, kToken);
+    co_await http::async_read(stream, buffer, *parser, kToken);
   if (readError) {
     co_return Failure(readError, "read");
   }
-  auto message = parser.release();
+  auto message = parser->release();
   HttpReply reply;
   reply.status_ = static_cast<int>(message.result_int());
   reply.body_ = std::move(message.body());
--- a/src/connection/target_attempt.cpp
+++ b/src/connection/target_attempt.cpp
@@ -1,5 +1,7 @@
 #include "connection/target_attempt.h"
 
+#include "adapter/read_answer.h"
+
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -109,14 +111,14 @@
 {
   const auto& start = aRequest->start_;
   beast::flat_buffer buffer;
-  http::response_parser<http::buffer_body> parser;
-  parser.body_limit(boost::none);
+  std::optional<http::response_parser<http::buffer_body>> newParser;
   stream_.expires_after(start.progressTimeout_);
-  const auto [headError, headBytes] =
-    co_await http::async_read_header(stream_, buffer, parser, kToken);
+  const auto headError =
+    co_await ReadAnswerHead(&stream_, &buffer, &newParser, boost::none);
   if (headError) {
     co_return Failure(headError);
   }
+  auto& parser = *newParser;
   const auto status = static_cast<int>(parser.get().result_int());
   if (auto refusal = CheckRefusal(status, parser.get())) {
     co_return *refusal;
@@ -165,15 +167,19 @@
   -> asio::awaitable<AttemptResult>
 {
   beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxPlainBytes);
+  std::optional<http::response_parser<http::string_body>> parser;
   stream_.expires_after(aRequest->start_.progressTimeout_);
+  const auto headError =
+    co_await ReadAnswerHead(&stream_, &buffer, &parser, kMaxPlainBytes);
+  if (headError) {
+    co_return Failure(headError);
+  }
   const auto [error, bytes] =
-    co_await http::async_read(stream_, buffer, parser, kToken);
+    co_await http::async_read(stream_, buffer, *parser, kToken);
   if (error) {
     co_return Failure(error);
   }
-  auto response = parser.release();
+  auto response = parser->release();
   const auto status = static_cast<int>(response.result_int());
   if (auto refusal = CheckRefusal(status, response)) {
     co_return *refusal;
--- a/src/main/load_driver.cpp
+++ b/src/main/load_driver.cpp
@@ -1,5 +1,6 @@
 #include "main/load_driver.h"
 
+#include "adapter/read_answer.h"
 #include "connection/http_server.h"
 #include "connection/stream_line.h"
 #include "process/claims/claim_key.h"
@@ -154,21 +155,20 @@
   const auto [writeError, written] =
     co_await http::async_write(stream, request, kToken);
   beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(boost::none);
-  const auto [headError, headBytes] =
-    co_await http::async_read_header(stream, buffer, parser, kToken);
+  std::optional<http::response_parser<http::string_body>> parser;
+  const auto headError =
+    co_await ReadAnswerHead(&stream, &buffer, &parser, boost::none);
   beast::error_code readError = writeError ? writeError : headError;
   if (!readError) {
     result.firstTokenMs_.push_back(MillisSince(start));
     const auto [bodyError, bodyBytes] =
-      co_await http::async_read(stream, buffer, parser, kToken);
+      co_await http::async_read(stream, buffer, *parser, kToken);
     readError = bodyError;
   }
   if (readError) {
     ++result.wrong_;
   } else {
-    auto reply = parser.release();
+    auto reply = parser->release();
     TakeReply(account.name_,
               { static_cast<int>(reply.result_int()), reply.body() }, aPrompt,
               aTokens);
--- a/src/standin/scripted_target.cpp
+++ b/src/standin/scripted_target.cpp
@@ -114,6 +114,11 @@
   thread_.join();
 }
 
+auto ScriptedTarget::Port() const -> std::uint16_t
+{
+  return acceptor_.local_endpoint().port();
+}
+
 auto ScriptedTarget::SetScript(Script aScript) -> void
 {
   const std::lock_guard lock(mutex_);
--- a/src/standin/scripted_target.h
+++ b/src/standin/scripted_target.h
@@ -58,9 +58,11 @@
   auto AwaitedBytes(const std::string& aHeader) -> std::size_t;
 
 public:
+  /// Listens on loopback; zero stands for any free port.
   explicit ScriptedTarget(std::uint16_t aPort);
   ~ScriptedTarget();
 
+  [[nodiscard]] auto Port() const -> std::uint16_t;
   auto SetScript(Script aScript) -> void;
   /// Takes the requests so far, header and body.
   auto TakeRequests() -> std::vector<std::string>;
