--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace burdockring {
 namespace {
@@ -93,5 +94,21 @@
   EXPECT_TRUE(Append().ok());
 }
 
+// Guards against an answer behind an answer that the next call takes for its
+// own, with the first or after it.
+TEST_F(StoreClientTest, NextCallGetsNoRestOfAnAnswer)
+{
+  const std::string done = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  constexpr Duration kPause = 20ms;
+  ScriptedAnswer late{ done, false, { done }, kPause };
+  for (const auto& answer : { ScriptedAnswer{ done + done }, late }) {
+    SetAnswer(answer);
+    EXPECT_TRUE(Append().ok());
+    std::this_thread::sleep_for(5 * kPause);
+    SetAnswer({ "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n" });
+    EXPECT_TRUE(absl::IsUnavailable(Append()));
+  }
+}
+
 } // namespace
 } // namespace burdockring
