MIXED: an engine's failure is no success on the own interface

What callers saw: 200 with the tokens of an engine that had answered 500, 400 or another failure, where lines like those of a whole answer stood behind the head.

Cause: the attempt looked at an engine's lines alone, and callers of engines get 200 whatever the engine's status was.

Change: an engine's answer with another status than 200, which is no refusal, is broken, as one without the end mark is.

Evidence: TargetAttemptTest.LinesUnderAFailureAreNoSuccess failed for 301, 400, 500 and 503 (204 has no lines) and passes with the change; the tests of the own interface's fleet pass.

--- a/src/connection/target_attempt.cpp
+++ b/src/connection/target_attempt.cpp
@@ -19,6 +19,7 @@
 
 constexpr auto kToken = asio::as_tuple(asio::use_awaitable);
 constexpr int kHttpVersion = 11;
+constexpr int kOk = 200;
 constexpr int kRefusedStatus = 503;
 constexpr Duration kConnectTimeout = 2s;
 constexpr std::size_t kReadBytes = 8192;
@@ -123,6 +124,9 @@
   if (auto refusal = CheckRefusal(status, parser.get())) {
     co_return *refusal;
   }
+  if (status != kOk) {
+    co_return Broken();
+  }
   int next = start.resumeFrom_;
   std::string text;
   std::array<char, kReadBytes> bytes{};
--- a/tests/connection/target_attempt_test.cpp
+++ b/tests/connection/target_attempt_test.cpp
@@ -116,6 +116,15 @@
   }
 }
 
+// The caller got 200 for what the target had answered as a failure.
+TEST_F(TargetAttemptTest, LinesUnderAFailureAreNoSuccess)
+{
+  for (const std::string status : { "204", "301", "400", "500", "503" }) {
+    SetAnswer({ "HTTP/1.1 " + status + " No\r\n\r\n" + Lines(), true });
+    EXPECT_EQ(Try(ServiceKind::kEngine).end_, AttemptEnd::kBroken) << status;
+  }
+}
+
 // An interim head passed for the whole answer, or for a broken one.
 TEST_F(TargetAttemptTest, InterimHeadsPrecedeTheAnswer)
 {
