Tests: half-broken answers, refusals that are cut, and broken heads in the fuzz

A part of an answer without a length, and a reset, on a connection that has served another request.

The fuzz of the request path draws answers without a length that are reset, and broken answers, too. Its draws no longer begin with the first behaviours alone.

--- a/tests/connection/target_connection_test.cpp
+++ b/tests/connection/target_connection_test.cpp
@@ -165,6 +165,22 @@
   EXPECT_EQ(AwaitVerdict(), Verdict::kBroken);
 }
 
+TEST_F(ResetTest, OfAKeptConnectionIsNoEndOfTheNextAnswer)
+{
+  SendRequest(0);
+  Answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+  EXPECT_EQ(AwaitVerdict(), Verdict::kWhole);
+  ASSERT_TRUE(wasIdle_);
+  listener_ = std::make_shared<RecordingListener>();
+  connection_->Send(kAttempt, "POST /y HTTP/1.1\r\n\r\n",
+                    std::make_shared<const std::string>(kLongUpload, 'u'),
+                    listener_);
+  Answer(kUnframedHead + std::string(500, 'a'));
+  Reset();
+  EXPECT_EQ(AwaitVerdict(), Verdict::kBroken);
+  EXPECT_EQ(listener_->body_, std::string(500, 'a'));
+}
+
 class ResetAfterBytesTest
   : public TargetConnectionTest
   , public testing::WithParamInterface<std::size_t>
--- a/tests/main/broken_answer_test.cpp
+++ b/tests/main/broken_answer_test.cpp
@@ -62,5 +62,87 @@
     return aInfo.param.name_;
   });
 
+/// Bytes of which a part is sound, and what a caller of unsafe work is told.
+struct HalfBrokenAnswer
+{
+  const char* name_;
+  std::string bytes_;
+  /// Whether the connection is reset behind them.
+  bool isReset_;
+  const char* status_;
+};
+
+auto operator<<(std::ostream& aStream, const HalfBrokenAnswer& aCase)
+  -> std::ostream&
+{
+  return aStream << aCase.name_;
+}
+
+class HalfBrokenAnswerTest
+  : public ForwardProcess
+  , public testing::WithParamInterface<HalfBrokenAnswer>
+{
+};
+
+// A refusal counts once its head is whole and sound, and never before.
+TEST_P(HalfBrokenAnswerTest, PromisesOnlyWhatASoundHeadSays)
+{
+  SetScripts([](const std::string&) {
+    ScriptedAnswer answer{ GetParam().bytes_ };
+    answer.reset_ = GetParam().isReset_;
+    return answer;
+  });
+  const auto answer = Ask("/once/x", "body", "X-Deadline-Ms: 3000\r\n");
+  EXPECT_EQ(Status(answer), GetParam().status_) << answer;
+  EXPECT_EQ(answer.find("wrong"), std::string::npos) << answer;
+}
+
+const std::string kRefusal = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"
+                             "X-Attempt-Id: a1\r\n";
+const std::string kLength = "Content-Length: 5\r\n\r\n";
+const std::string kSound = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+                           "X-Response-Stamp: sig\r\n" +
+                           kLength + "wrong";
+
+INSTANTIATE_TEST_SUITE_P(
+  Answers,
+  HalfBrokenAnswerTest,
+  testing::Values(
+    HalfBrokenAnswer{ "RefusalCutInItsBody", kRefusal + kLength + "wr", true,
+                      "503" },
+    HalfBrokenAnswer{ "RefusalWithoutALengthCut", kRefusal + "\r\nwr", true,
+                      "503" },
+    HalfBrokenAnswer{ "RefusalCutInItsHead", kRefusal, true, "502" },
+    HalfBrokenAnswer{ "RefusalOfNoStatus",
+                      "HTTP/1.1 600 Full\r\nX-Not-Executed: 1\r\n"
+                      "X-Attempt-Id: a1\r\n" +
+                        kLength + "wrong",
+                      false, "502" },
+    HalfBrokenAnswer{ "RefusalInUnknownCoding",
+                      kRefusal + "Transfer-Encoding: gzip\r\n\r\nwrong", true,
+                      "502" },
+    HalfBrokenAnswer{ "RefusalInAnInterimHead",
+                      "HTTP/1.1 103 Early\r\nX-Not-Executed: 1\r\n\r\n", true,
+                      "502" },
+    HalfBrokenAnswer{ "RefusalBehindABrokenInterimHead",
+                      "HTTP/1.1 100 On\r\nX Y: z\r\n\r\n" + kRefusal + kLength +
+                        "wrong",
+                      false, "502" },
+    HalfBrokenAnswer{ "AnswerBehindABrokenInterimHead",
+                      "HTTP/1.1 100 On\r\nX\x01Y: z\r\n\r\n" + kSound, false,
+                      "502" },
+    HalfBrokenAnswer{ "AnswerBehindAnInterimBody",
+                      "HTTP/1.1 100 On\r\n" + kLength + "wrong" + kSound, false,
+                      "502" },
+    HalfBrokenAnswer{ "AnswerBehindAnInterimHeadInUnknownCoding",
+                      "HTTP/1.1 103 Early\r\nTransfer-Encoding: gzip\r\n\r\n" +
+                        kSound,
+                      false, "502" },
+    HalfBrokenAnswer{ "AnswerBehindASwitchOfProtocols",
+                      "HTTP/1.1 101 Switch\r\n\r\n" + kSound, false, "502" }),
+  [](const testing::TestParamInfo<HalfBrokenAnswer>& aInfo) {
+    return std::string(aInfo.param.name_);
+  });
+
 } // namespace
 } // namespace burdockring
--- a/tests/main/forward_fuzz_test.cpp
+++ b/tests/main/forward_fuzz_test.cpp
@@ -1,3 +1,4 @@
+#include "support/broken_answers.h"
 #include "support/forward_process.h"
 
 #include <atomic>
@@ -43,8 +44,19 @@
   kOtherId,
   /// The status is right but the sign of the whole answer is missing.
   kUnsigned,
+  /// The answer has no length, and the connection is reset within it.
+  kUnframedReset,
+  /// One of the broken answers in HTTP/1.
+  kBroken,
 };
-constexpr int kBehaviours = 9;
+constexpr int kBehaviours = 11;
+
+/// Status line and fields of an answer that states no length.
+auto SignedHead(const std::string& aId) -> std::string
+{
+  return fmt::format(
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Response-Stamp: sig\r\n", aId);
+}
 
 struct AttemptPlan
 {
@@ -142,6 +154,18 @@
                              "Content-Length: {}\r\n\r\n{}",
                              aId, aBody.size(), aBody),
                  true };
+      case Behaviour::kUnframedReset: {
+        const auto unframed = SignedHead(aId) + "\r\n" + aBody;
+        ScriptedAnswer answer{ unframed.substr(0,
+                                               aPlan.at_ % unframed.size()) };
+        answer.reset_ = true;
+        return answer;
+      }
+      case Behaviour::kBroken: {
+        const auto all = AllBrokenAnswers("X-Attempt-Id: " + aId +
+                                          "\r\nX-Response-Stamp: sig\r\n");
+        return { all.at(aPlan.at_ % all.size()).bytes_ };
+      }
       default:
         return { whole };
     }
@@ -255,7 +279,8 @@
     const auto length =
       GoodHead("f1000", 100).size() + WholeBody(route, "f1000").size();
     for (std::size_t at = 0; at < length; ++at) {
-      for (const auto how : { Behaviour::kCut, Behaviour::kReset }) {
+      for (const auto how :
+           { Behaviour::kCut, Behaviour::kReset, Behaviour::kUnframedReset }) {
         const RequestPlan plan{ route, { { how, at } } };
         EXPECT_EQ(Play(plan), "") << RouteName(route) << " broken at " << at;
       }
@@ -290,9 +315,11 @@
 
 auto DrawPlan() -> rc::Gen<RequestPlan>
 {
+  // The range would begin small and reach the last behaviours hardly ever.
   const auto attempt = rc::gen::map(
-    rc::gen::pair(rc::gen::inRange(0, kBehaviours),
-                  rc::gen::inRange<std::size_t>(0, 300)),
+    rc::gen::resize(rc::kNominalSize,
+                    rc::gen::pair(rc::gen::inRange(0, kBehaviours),
+                                  rc::gen::inRange<std::size_t>(0, 300))),
     [](const std::pair<int, std::size_t>& aDrawn) {
       return AttemptPlan{ static_cast<Behaviour>(aDrawn.first), aDrawn.second };
     });
