Soak plays broken answers; logs say what is broken; a list of one length

The soak's targets also reset an answer without a length, answer with the status 600, and in a coding that nobody knows; its book takes a status that is none for a broken promise.

"bytes that are no answer" in the log says which rule they break, as the parser does, so that on-call engineers need no trace.

"Content-Length: 5, 5" in an answer to HEAD is passed on as the one length that it is.

--- a/src/connection/exchange.cpp
+++ b/src/connection/exchange.cpp
@@ -110,7 +110,8 @@
 {
   const auto length = FieldValue(answer_.fields_, "Content-Length");
   if (answer_.status_ != kNoContent && !length.empty()) {
-    AppendField(aText, "Content-Length", length);
+    // The parser takes a list of one length, too.
+    AppendField(aText, "Content-Length", length.substr(0, length.find(',')));
   }
 }
 
--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -131,7 +131,8 @@
   while (state_ == State::kBusy && reader_ && !inbound_.empty()) {
     const auto error = reader_->Put(&inbound_);
     if (error || inbound_.size() > kMaxUnparsed) {
-      Break("bytes that are no answer");
+      Break("bytes that are no answer: " +
+            (error ? error.message() : "no end of a line"));
       return;
     }
     if (!reader_->HasHead()) {
--- a/tests/main/bodiless_answer_test.cpp
+++ b/tests/main/bodiless_answer_test.cpp
@@ -79,6 +79,8 @@
   testing::Values(
     BodilessAnswer{ "HeadWithLength", "HEAD", "/safe/x", "200 OK", kLength, "",
                     "5" },
+    BodilessAnswer{ "HeadWithListOfLengths", "HEAD", "/safe/x", "200 OK",
+                    "Content-Length: 5, 5\r\n", "", "5" },
     BodilessAnswer{ "HeadWithChunks", "HEAD", "/safe/x", "200 OK", kChunked, "",
                     "" },
     BodilessAnswer{ "HeadWithoutLength", "HEAD", "/safe/x", "200 OK", "", "",
--- a/tests/soak/promise_book.cpp
+++ b/tests/soak/promise_book.cpp
@@ -1,5 +1,7 @@
 #include "soak/promise_book.h"
 
+#include "base/http_rules.h"
+
 #include <fmt/format.h>
 
 namespace burdockring {
@@ -79,6 +81,11 @@
     }
   } else {
     ++failed_;
+    // Zero: the connection ended without an answer.
+    if (aAnswer.status_ != 0 && !IsAnswerStatus(aAnswer.status_)) {
+      Break("a caller gets answers in HTTP", aId,
+            fmt::format("got the status {}", aAnswer.status_));
+    }
   }
 }
 
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -38,6 +38,15 @@
     .count();
 }
 
+/// Status line and fields of an answer, but for its framing.
+auto SignedHead(const std::string& aId, const std::string& aStatus)
+  -> std::string
+{
+  return fmt::format(
+    "HTTP/1.1 {} Any\r\nX-Attempt-Id: {}\r\nX-Response-Stamp: sig\r\n", aStatus,
+    aId);
+}
+
 } // namespace
 
 auto SoakFleet::PortOf(int aOffset) const -> std::uint16_t
@@ -98,7 +107,7 @@
                                    static_cast<std::uint32_t>(aTarget));
   const bool misbehaves =
     static_cast<int>(random() % 1000) < target.faulty_.load();
-  const auto how = misbehaves ? random() % 5 : 99;
+  const auto how = misbehaves ? random() % 8 : 99;
   if (how == 0) {
     return { NotRunAnswer(id), false };
   }
@@ -123,6 +132,18 @@
       return { whole + GoodHead("stray", 3) + "abc", false };
     case 4:
       return { "\x01\x02 no answer at all\r\n\r\n", true };
+    case 5: {
+      // A reset within an answer that states no length.
+      const auto unframed = SignedHead(id, "200") + "\r\n" + body;
+      ScriptedAnswer answer{ unframed.substr(0, random() % unframed.size()) };
+      answer.reset_ = true;
+      return answer;
+    }
+    case 6:
+      return { SignedHead(id, "600") + "Content-Length: 5\r\n\r\nwrong" };
+    case 7:
+      return { SignedHead(id, "200") + "Transfer-Encoding: gzip\r\n\r\nwrong",
+               true };
     default:
       return { whole, false };
   }
