A connection is not kept behind chunks in HTTP/1.0

What could happen: HTTP/1.0 has no transfer codings, so a target that states one there may end its answer elsewhere than the reader does; with "Connection: keep-alive" the rest would have met the next request. RFC 9112, 6.1, has the connection closed after such a message.

Change: such a connection is not kept; the answer is read as before.

Evidence: OrderlyEndTest.OfChunksInAnOlderVersionEndsTheConnection failed before and passes with the change.

--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -167,8 +167,11 @@
   reader_->skip(isHeadRequest_);
 }
 
-auto TargetConnection::StatesExcludedBody() const -> bool
+auto TargetConnection::HasDoubtfulEnd() const -> bool
 {
+  if (reader_->chunked() && reader_->Head().minorVersion_ == 0) {
+    return true;
+  }
   const bool isExcluded =
     isHeadRequest_ || IsBodilessStatus(reader_->Head().status_);
   return isExcluded &&
@@ -190,7 +193,7 @@
   if (const auto life = KeepAliveTimeout(head.fields_)) {
     idleLife_ = *life;
   }
-  if (!reader_->keep_alive() || reader_->need_eof() || StatesExcludedBody()) {
+  if (!reader_->keep_alive() || reader_->need_eof() || HasDoubtfulEnd()) {
     mayKeep_ = false;
   }
   const bool ours = listener->OnHead(attempt_, head, isReused_);
--- a/src/connection/target_connection.h
+++ b/src/connection/target_connection.h
@@ -118,9 +118,10 @@
   /// Prepares to read a head, and what belongs to it, from its beginning.
   auto StartReader() -> void;
   auto OnHead() -> bool;
-  /// Whether a body may follow that the reader does not expect: the head states
-  /// one, though its status or the request's method excludes it.
-  [[nodiscard]] auto StatesExcludedBody() const -> bool;
+  /// Whether the target may end the answer elsewhere than the reader does: its
+  /// head states a body that the status or the method excludes, or chunks in
+  /// HTTP/1.0, which has none (RFC 9112, 6.1).
+  [[nodiscard]] auto HasDoubtfulEnd() const -> bool;
   auto OnMessageEnd() -> void;
   auto OnConnectionEnd(const boost::system::error_code& aError) -> void;
   auto Break(std::string_view aCause) -> void;
--- a/tests/connection/target_connection_test.cpp
+++ b/tests/connection/target_connection_test.cpp
@@ -320,6 +320,16 @@
                          UnframedAnswerTest,
                          testing::Values("HTTP/1.1", "HTTP/1.0"));
 
+TEST_F(OrderlyEndTest, OfChunksInAnOlderVersionEndsTheConnection)
+{
+  SendRequest(0);
+  Answer("HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n");
+  EXPECT_EQ(AwaitVerdict(), Verdict::kWhole);
+  EXPECT_EQ(listener_->body_, "whole");
+  EXPECT_FALSE(wasIdle_);
+}
+
 /// An answer that ends with its head.
 struct HeadOnlyAnswer
 {
