MIXED: the end of a connection is judged behind the writes before it

Cause: an event of the socket was queued, then a write's handler sent on and was told of the reset; its completion stood behind the event. The event's handler read the end of the stream and completed that read within itself, so the end was judged before the noted error was there (trace: send ECONNRESET, recv 0, close).

Change: an error or end of a read is judged one turn of the loop later, behind all completions that were queued before it.

--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -91,7 +91,13 @@
   }
   NoteError(aError);
   if (aError) {
-    OnConnectionEnd(failure_ ? failure_ : aError);
+    // A write may have been told of a failure before this read found the end;
+    // its handler then waits behind this one.
+    asio::post(socket_.get_executor(), [self = shared_from_this(), aError] {
+      if (self->state_ == State::kBusy) {
+        self->OnConnectionEnd(self->failure_ ? self->failure_ : aError);
+      }
+    });
     return;
   }
   inbound_.append(first_.data(), aBytes);
