Plainer comments on a connection's failure; what the postmortem knows by reading

On reading the change again: comments say that a call reports an error; the order of the second race is from the trace and from reading the event loop, and no test sets it by itself.

--- a/src/connection/target_connection.cpp
+++ b/src/connection/target_connection.cpp
@@ -56,7 +56,7 @@
   }
   mayKeep_ = false;
   // A broken pipe concerns the sending side alone: where a reset cut off what
-  // was to be received, a call is told of the reset before.
+  // was to be received, an earlier call has reported the reset.
   if (!failure_ && aError != asio::error::eof &&
       aError != asio::error::broken_pipe) {
     failure_ = aError;
@@ -91,8 +91,8 @@
   }
   NoteError(aError);
   if (aError) {
-    // A write may have been told of a failure before this read found the end;
-    // its handler then waits behind this one.
+    // A write may have met a failure before this read found the end; its
+    // handler then waits behind this one.
     asio::post(socket_.get_executor(), [self = shared_from_this(), aError] {
       if (self->state_ == State::kBusy) {
         self->OnConnectionEnd(self->failure_ ? self->failure_ : aError);
--- a/src/connection/target_connection.h
+++ b/src/connection/target_connection.h
@@ -92,8 +92,8 @@
   bool isRefused_ = false;
   /// Whether the target's VM acknowledged nothing for too long.
   bool timedOut_ = false;
-  /// The failure that a call was told of. The system tells it once, to the
-  /// first call; later reads find no more than the end of the stream.
+  /// The connection's failure. The system reports it once, to the first call;
+  /// later reads find no more than the end of the stream.
   boost::system::error_code failure_;
   bool writing_ = false;
   bool reading_ = false;
--- a/tests/connection/target_connection_test.cpp
+++ b/tests/connection/target_connection_test.cpp
@@ -139,7 +139,7 @@
 
 using ResetTest = TargetConnectionTest;
 
-// The write of the request was told of the reset, and the read behind it found
+// The write of the request got the reset's error, and the read behind it found
 // the end of the stream: the caller got the part as a complete answer.
 TEST_F(ResetTest, WhileTheRequestIsWrittenIsNoEndOfAnAnswer)
 {
@@ -151,7 +151,7 @@
   EXPECT_EQ(listener_->cause_, "Connection reset by peer");
 }
 
-// The caller reads slowly, so the answer is not read while the write is told.
+// The caller reads slowly, so the answer is not read while the write fails.
 TEST_F(ResetTest, WhileReadingIsPausedIsNoEndOfAnAnswer)
 {
   SendRequest(kLongUpload);
@@ -187,8 +187,8 @@
 {
 };
 
-// Bytes that fill a read buffer are followed by a second read, which was told
-// of the reset.
+// Bytes that fill a read buffer are followed by a second read, which got
+// the reset's error.
 TEST_P(ResetAfterBytesTest, IsNoEndOfAnAnswer)
 {
   SendRequest(0);
