--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -51,10 +51,9 @@
         }
         record.Line(aId + " runs " + id);
         SleepMs(15);
-        return SendAll(aSocket,
-                       Answer(200,
-                              fields + "X-Response-Stamp: s." + aId + "\r\n",
-                              "from " + aId));
+        return SendAll(
+          aSocket, Answer(200, fields + "X-Response-Stamp: s." + aId + "\r\n",
+                          "from " + aId));
       }));
   };
   for (int i = 1; i <= kEngines; ++i) {
@@ -95,9 +94,10 @@
           socket >= 0 &&
           SendAll(socket, "POST /once/c HTTP/1.1\r\nHost: site.example\r\n"
                           "X-Attempt-Id: " +
-                            id + "\r\nX-Deadline-Ms: 1000\r\nAuthorization: "
-                                 "Token key1\r\nConnection: close\r\n"
-                                 "Content-Length: 5\r\n\r\ncount");
+                            id +
+                            "\r\nX-Deadline-Ms: 1000\r\nAuthorization: "
+                            "Token key1\r\nConnection: close\r\n"
+                            "Content-Length: 5\r\n\r\ncount");
         const auto end =
           sent ? ReadMessage(socket, &buffer, &answer, 1500) : End::kClosed;
         if (socket >= 0) {
@@ -105,10 +105,10 @@
         }
         const bool isServed = end == End::kWhole && answer.Status() == 200;
         ++(isServed ? served : others);
-        record.Line("caller " + id + ": " +
-                    (end == End::kWhole ? std::to_string(answer.Status())
-                                        : "no answer") +
-                    " " + (isServed ? answer.body_ : ""));
+        record.Line(
+          "caller " + id + ": " +
+          (end == End::kWhole ? std::to_string(answer.Status()) : "no answer") +
+          " " + (isServed ? answer.body_ : ""));
         SleepMs(40);
       }
     });
--- a/review/support-3/harness.h
+++ b/review/support-3/harness.h
@@ -128,8 +128,9 @@
   for (const int kind : { SOCK_STREAM, SOCK_DGRAM }) {
     const int socket = ::socket(AF_INET, kind | SOCK_CLOEXEC, 0);
     const auto address = Address("0.0.0.0", aPort);
-    const bool isFree = bind(socket, reinterpret_cast<const sockaddr*>(&address),
-                             sizeof(address)) == 0;
+    const bool isFree =
+      bind(socket, reinterpret_cast<const sockaddr*>(&address),
+           sizeof(address)) == 0;
     close(socket);
     if (!isFree) {
       return false;
@@ -180,8 +181,8 @@
 {
   std::size_t sent = 0;
   while (sent < aBytes.size()) {
-    const auto count = send(aSocket, aBytes.data() + sent, aBytes.size() - sent,
-                            MSG_NOSIGNAL);
+    const auto count =
+      send(aSocket, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
     if (count <= 0) {
       return false;
     }
@@ -443,13 +444,13 @@
   for (std::size_t i = 0; i < aBytes.size(); i += 3) {
     std::uint32_t group = 0;
     for (std::size_t j = 0; j < 3; ++j) {
-      group = (group << 8U) | (i + j < aBytes.size()
-                                 ? static_cast<unsigned char>(aBytes[i + j])
-                                 : 0U);
+      group = (group << 8U) |
+              (i + j < aBytes.size() ? static_cast<unsigned char>(aBytes[i + j])
+                                     : 0U);
     }
     for (std::size_t j = 0; j < 4; ++j) {
-      text += i + j > aBytes.size() ? '='
-                                    : kLetters[(group >> (18U - 6U * j)) & 63U];
+      text +=
+        i + j > aBytes.size() ? '=' : kLetters[(group >> (18U - 6U * j)) & 63U];
     }
   }
   return text;
@@ -587,8 +588,10 @@
     } else if (target.starts_with("/-/log-read")) {
       ++calls_["read " + Query(target, "topic")];
       const auto& topic = topics_[Query(target, "topic")];
-      const auto from = std::strtoul(Query(target, "from").c_str(), nullptr, 10);
-      const auto wait = std::strtol(Query(target, "waitMs").c_str(), nullptr, 10);
+      const auto from =
+        std::strtoul(Query(target, "from").c_str(), nullptr, 10);
+      const auto wait =
+        std::strtol(Query(target, "waitMs").c_str(), nullptr, 10);
       const int era = era_;
       news_.wait_for(lock, std::chrono::milliseconds(wait),
                      [&] { return topic.size() > from || era != era_; });
@@ -643,9 +646,7 @@
     : host_(std::move(aHost))
     , port_(aPort)
     , server_(std::make_unique<Server>(
-        host_,
-        port_,
-        [this](int aSocket, const Message& aRequest) {
+        host_, port_, [this](int aSocket, const Message& aRequest) {
           return Handle(aSocket, aRequest);
         }))
   {
@@ -864,8 +865,7 @@
   }
   ~Folder()
   {
-    if (getenv("KEEP") == nullptr &&
-        system(("rm -rf " + path_).c_str()) != 0) {
+    if (getenv("KEEP") == nullptr && system(("rm -rf " + path_).c_str()) != 0) {
       fprintf(stderr, "left %s\n", path_.c_str());
     }
   }
