--- a/review/support-3/harness.h
+++ b/review/support-3/harness.h
@@ -700,8 +700,6 @@
   int memoryMb_ = 260;
   int maxFds_ = 4100;
   int drainMs_ = 2000;
-  /// More of "bounds", each with a comma before it.
-  std::string bounds_;
 };
 
 inline auto SettingsText(const RouterSettings& aRouter) -> std::string
@@ -720,7 +718,7 @@
     "\"graceS\":8,\"lostMs\":200,\"configApplyMs\":2000,\"rollbackSlackMs\":"
     "250,\"maxSkewMs\":5000,\"failClosed\":true,\"revokeMs\":5000,"
     "\"budgetRatio\":0.2,\"budgetWindowS\":10,\"budgetSlack\":56,\"recoverS\":"
-    "12,\"passMs\":120,\"againS\":10,\"quotaWindowS\":4%s},\"platform\":{"
+    "12,\"passMs\":120,\"againS\":10,\"quotaWindowS\":4},\"platform\":{"
     "\"address\":\"%s\",\"form\":\"log\",\"writesPerS\":400,\"readsPerS\":2000,"
     "\"parts\":8,\"appendMs\":4.0,\"recordBytes\":262144,\"callBytes\":2097152,"
     "\"keep_s\":300,\"partMb\":200,\"ttlMinMs\":1000}}",
@@ -729,7 +727,7 @@
     aRouter.readyPort_, aRouter.ip_.c_str(), aRouter.controlPort_,
     aRouter.internalPort_, aRouter.internalPort_ + 15, aRouter.cpuShare_,
     aRouter.memoryMb_, aRouter.maxFds_, aRouter.drainMs_,
-    aRouter.bounds_.c_str(), aRouter.store_.c_str());
+    aRouter.store_.c_str());
 }
 
 /// One real router process, started as the deploy file says.
