--- a/tests/platform/store_source_test.cpp
+++ b/tests/platform/store_source_test.cpp
@@ -4,10 +4,9 @@
 #include "platform/standin/store_standin.h"
 #include "support/context_runner.h"
 #include "support/forwarding_fixture.h"
+#include "support/recording_sink.h"
 
 #include <gtest/gtest.h>
-#include <map>
-#include <set>
 #include <thread>
 
 namespace burdockring {
@@ -20,86 +19,6 @@
 const std::string kTargets(kStandinTargetTopic);
 const std::string kRouters(kStandinRouterTopic);
 
-/// Holds what the source tells, for one router that always reads.
-class RecordingSink : public DiscoverySink
-{
-public:
-  StoreEpochTracker epoch_;
-  std::vector<std::int64_t> versions_;
-  std::set<std::string> targets_;
-  /// Whether each zone that a record named is drained.
-  std::map<std::string, bool> drains_;
-  std::vector<RouterAddress> routers_;
-  std::vector<wire::ListNews> news_;
-  int confirmed_ = 0;
-  /// Whether this router relies on its peers.
-  bool waits_ = false;
-
-  auto OnConfiguration(RouteTablePointer aTable,
-                       std::string /*aText*/,
-                       Instant /*aAsOf*/) -> void override
-  {
-    versions_.push_back(aTable->Version());
-  }
-  auto OnConfigurationConfirmed(Instant /*aAsOf*/) -> void override
-  {
-    ++confirmed_;
-  }
-  auto OnZoneDrains(const std::vector<ZoneDrainRecord>& aRecords,
-                    bool aIsSnapshot,
-                    std::int64_t /*aOffset*/) -> void override
-  {
-    if (aIsSnapshot) {
-      drains_.clear();
-    }
-    for (const auto& record : aRecords) {
-      drains_[record.name_] = record.isDrained_;
-    }
-  }
-  auto OnTarget(const std::string& aKey, RegisteredTarget /*aTarget*/)
-    -> void override
-  {
-    targets_.insert(aKey);
-  }
-  auto OnTargetRemoved(const std::string& aKey) -> void override
-  {
-    targets_.erase(aKey);
-  }
-  auto OnTargets(std::vector<std::pair<std::string, RegisteredTarget>> aAll)
-    -> void override
-  {
-    targets_.clear();
-    for (const auto& entry : aAll) {
-      targets_.insert(entry.first);
-    }
-  }
-  auto OnTargetListRead(bool /*aSuccess*/) -> void override {}
-  auto OnStoredQuarantine(const StoredQuarantine& /*aQuarantine*/)
-    -> void override
-  {
-  }
-  auto OnRouters(const std::vector<RouterAddress>& aRouters) -> void override
-  {
-    routers_ = aRouters;
-  }
-  auto OnStoreEpoch(std::optional<std::int64_t> aEpoch) -> EpochOrder override
-  {
-    return epoch_.Note(aEpoch);
-  }
-  auto TimeToRead(SharedList /*aList*/, bool aFirst) -> Duration override
-  {
-    return waits_ && !aFirst ? Duration(20ms) : Duration(0);
-  }
-  auto OnListRead(SharedList /*aList*/,
-                  bool /*aSuccess*/,
-                  std::optional<wire::ListNews> aNews) -> void override
-  {
-    if (aNews) {
-      news_.push_back(std::move(*aNews));
-    }
-  }
-};
-
 /// The source of a real router's lists before a stand-in of the store.
 class StoreSourceTest
   : public testing::Test
@@ -116,14 +35,8 @@
     PutVersion(3);
     PutTarget("i-1");
     PutTarget("i-2");
-    ProcessSettings settings;
-    settings.self_.name_ = "r1";
-    settings.self_.host_ = "127.0.0.1";
-    settings.self_.peerPort_ = 1;
-    settings.store_.address_ = { "127.0.0.1", kStorePort };
-    settings.store_.configWait_ = 50ms;
-    settings.store_.targetInterval_ = 5ms;
-    source_ = std::make_unique<StoreSource>(&context_, settings, &sink_, &log_);
+    source_ = std::make_unique<StoreSource>(
+      &context_, MakeSourceSettings(kStorePort), &sink_, &log_);
     source_->Start();
     ASSERT_TRUE(RunUntil([&] {
       return !sink_.versions_.empty() && sink_.targets_.size() == 2 &&
