DecodeNewest: keys that are no text hide no records of their page

Cause: a page is one JSON text. A key of another writer with bytes that are no UTF-8, half a surrogate pair or a control character made it unreadable, and with it up to 499 records of others. A router that read such a page again and again never had a list.

How the store writes such a key is not said on its page.

--- a/tests/platform/record_codec_test.cpp
+++ b/tests/platform/record_codec_test.cpp
@@ -208,6 +208,37 @@
   EXPECT_FALSE(DecodeNewest("{}").ok());
 }
 
+// Guards against a record whose key hides all others of its page.
+TEST(RecordCodec, KeysThatAreNoTextHideNoRecords)
+{
+  const std::string head =
+    R"({"items":[{"key":"a\\\"b","value":"YWI="},{"key":")";
+  const std::string tail =
+    R"(","value":"YWI="},{"key":"z","value":"YWI="}],"more":true,"end":6})";
+  const std::string other = "\ufffd";
+  const std::vector<std::pair<std::string, std::string>> keys{
+    { "k\x91", "k" + other },
+    { "k\xff\xfe", "k" + other + other },
+    // The beginning of a longer sequence, before the closing quote.
+    { "k\xe4", "k" + other },
+    { "\xf0\x9f", other },
+    { R"(k\udc91)", "k" + other },
+    { R"(k\ud800z)", "k" + other + "z" },
+    { R"(\ud83d\ude00\ud83d)", "\U0001f600" + other },
+    { "k\n\x01", "k\n\x01" },
+  };
+  for (const auto& [text, key] : keys) {
+    const auto page = DecodeNewest(head + text + tail);
+    ASSERT_TRUE(page.ok()) << text;
+    ASSERT_EQ(page->records_.size(), 3U) << text;
+    EXPECT_EQ(page->records_[0].key_, "a\\\"b");
+    EXPECT_EQ(page->records_[1].key_, key);
+    EXPECT_EQ(page->records_[2].key_, "z");
+  }
+  EXPECT_FALSE(DecodeNewest(head + R"(k","value":)").ok());
+  EXPECT_FALSE(DecodeNewest(head + R"(k\ud8)").ok());
+}
+
 /// An engine's entry that names no engine to use.
 struct OddEntry
 {
