StoreSource: read newest records page by page, and use targets in part

Four faults of one loop, which held all pages until the last one had come and began anew after any failure:

- It asked for no progress.
A store that goes on behind a changed key got the same call for ever (122,759 calls in 7 s in the test), and what it sent was kept: a router grew until its machine was full.
A page without records passed for the list's end, so that targets counted as gone and a configuration as confirmed without the zone drains behind it.
- A lost page threw away those before it.
With one call in three lost, 24 pages were never read whole (92,514 calls in 6 s).
- Raw records of all pages were held: 112,564 kB at the start beside 100 MB of another writer's entries, more than three quarters of a VM of 120 MB.
- A router whose list of targets could not be read to its end served nobody, although it knew targets.

Targets of a list that can't be read on are used in part, after a second or at once if the failure will last: the records behind the first page are followed, so removals are seen, and other targets appear as they register again; known ones that are not in the part are dropped after the grace period. The configuration and the routers' list still need all pages.

--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -654,6 +654,16 @@
   node_.Directory().Replace(aAll, now);
 }
 
+auto ForwardingProcess::OnTargetsInPart(
+  std::vector<std::pair<std::string, RegisteredTarget>> aPart) -> void
+{
+  const auto now = BootNow();
+  for (auto& entry : aPart) {
+    entry.second.registeredAt_ = now;
+  }
+  node_.Directory().ReplaceInPart(aPart, now);
+}
+
 auto ForwardingProcess::OnTargetListRead(bool aSuccess) -> void
 {
   node_.Directory().OnListRead(aSuccess, BootNow());
--- a/src/main/forwarding_process.h
+++ b/src/main/forwarding_process.h
@@ -133,6 +133,9 @@
   auto OnTargetRemoved(const std::string& aKey) -> void override;
   auto OnTargets(std::vector<std::pair<std::string, RegisteredTarget>> aAll)
     -> void override;
+  auto OnTargetsInPart(
+    std::vector<std::pair<std::string, RegisteredTarget>> aPart)
+    -> void override;
   auto OnTargetListRead(bool aSuccess) -> void override;
   auto OnStoredQuarantine(const StoredQuarantine& aQuarantine) -> void override;
   auto OnRouters(const std::vector<RouterAddress>& aRouters) -> void override;
--- a/src/process/forwarding/discovery_sink.h
+++ b/src/process/forwarding/discovery_sink.h
@@ -54,6 +54,9 @@
   virtual auto OnTargets(
     std::vector<std::pair<std::string, RegisteredTarget>> aSnapshot)
     -> void = 0;
+  /// Targets of a list whose rest can't be read now.
+  virtual auto OnTargetsInPart(
+    std::vector<std::pair<std::string, RegisteredTarget>> aPart) -> void = 0;
   /// A read of the targets, by this router or a peer, succeeded or failed. Is
   /// called before the records of a read are passed on.
   virtual auto OnTargetListRead(bool aSuccess) -> void = 0;
--- a/src/process/placement/target_directory.cpp
+++ b/src/process/placement/target_directory.cpp
@@ -126,6 +126,17 @@
   }
 }
 
+auto TargetDirectory::ReplaceInPart(
+  const std::vector<std::pair<std::string, RegisteredTarget>>& aPart,
+  Instant aNow) -> void
+{
+  graceUntil_ = std::max(graceUntil_, aNow + kReregistrationGracePeriod);
+  const bool mayBeStale = nextSnapshotMayBeStale_;
+  Replace(aPart, aNow);
+  // The next snapshot shows what this one lacks for the first time.
+  nextSnapshotMayBeStale_ = mayBeStale;
+}
+
 auto TargetDirectory::MarkLeaving(TargetId aTarget) -> bool
 {
   if (!RememberId(&leavingIds_, aTarget)) {
--- a/src/process/placement/target_directory.h
+++ b/src/process/placement/target_directory.h
@@ -123,6 +123,12 @@
   auto Replace(
     const std::vector<std::pair<std::string, RegisteredTarget>>& aSnapshot,
     Instant aNow) -> void;
+  /// Applies a part of a snapshot whose rest can't be read. Entries that it
+  /// lacks are dropped unless they register again within
+  /// kReregistrationGracePeriod.
+  auto ReplaceInPart(
+    const std::vector<std::pair<std::string, RegisteredTarget>>& aPart,
+    Instant aNow) -> void;
   /// The target announced to this router or to a peer that it leaves. Returns
   /// whether that was not known before.
   auto MarkLeaving(TargetId aTarget) -> bool;
--- a/tests/main/bounded_memory_test.cpp
+++ b/tests/main/bounded_memory_test.cpp
@@ -112,11 +112,14 @@
     return "/proc/" + std::to_string(process_.Id());
   }
 
-  auto ResidentKb() -> int
+  auto ResidentKb() -> int { return StatusKb("VmRSS:"); }
+
+  /// A line of the process's status that counts kilobytes.
+  auto StatusKb(const std::string& aName) -> int
   {
     std::ifstream status(ProcFolder() + "/status");
     for (std::string line; std::getline(status, line);) {
-      if (line.starts_with("VmRSS:")) {
+      if (line.starts_with(aName)) {
         return std::stoi(line.substr(line.find_first_of("0123456789")));
       }
     }
@@ -144,6 +147,42 @@
   }
 };
 
+/// A router on a small VM whose list of targets has 100 MB of another writer's
+/// entries.
+class LargeListTest : public WatchedProcess
+{
+protected:
+  static constexpr int kMemoryMb = 120;
+  static constexpr int kMostResidentKb = kMemoryMb * 1024 * 3 / 4;
+  static constexpr int kEntries = 400;
+  static constexpr std::size_t kEntryBytes = 250'000;
+
+  auto SetUp() -> void override
+  {
+    memoryMb_ = kMemoryMb;
+    ForwardProcess::SetUp();
+  }
+
+  auto ExtendConfiguration(StandinConfiguration* /*aConfiguration*/)
+    -> void override
+  {
+    for (int i = 0; i < kEntries; ++i) {
+      store_.Put(std::string(kStandinTargetTopic),
+                 { "a-" + std::to_string(i), std::string(kEntryBytes, '#') });
+    }
+  }
+
+  /// The most memory that the process has had.
+  auto PeakResidentKb() -> int { return StatusKb("VmHWM:"); }
+};
+
+// Guards against pages that are all held until the last one has come.
+TEST_F(LargeListTest, StartKeepsWithinTheMemory)
+{
+  EXPECT_EQ(Status(Ask("/once/x")), "200");
+  EXPECT_LT(PeakResidentKb(), kMostResidentKb);
+}
+
 /// A router on a small VM. The loads took 77 to 137 MB before the process
 /// counted what it holds for clients.
 class BoundedMemoryTest
--- a/tests/platform/configuration_trust_test.cpp
+++ b/tests/platform/configuration_trust_test.cpp
@@ -90,6 +90,11 @@
     -> void override
   {
   }
+  auto OnTargetsInPart(
+    std::vector<std::pair<std::string, RegisteredTarget>> /*aPart*/)
+    -> void override
+  {
+  }
   auto OnTargetListRead(bool /*aSuccess*/) -> void override {}
   auto OnStoredQuarantine(const StoredQuarantine& /*aQuarantine*/)
     -> void override
--- a/tests/platform/newest_pages_test.cpp
+++ b/tests/platform/newest_pages_test.cpp
@@ -113,10 +113,110 @@
                   OddName{ "Nul", std::string("k\0l", 3) },
                   OddName{ "Text", "k\u00e9\u4e2d" },
                   OddName{ "LowByte", "k\x80" },
+                  OddName{ "HighByte", "k\xff" },
                   OddName{ "Long", std::string(250, '%') }),
   [](const testing::TestParamInfo<OddName>& aInfo) {
     return aInfo.param.label_;
   });
 
+// Guards against a read that never ends, and fills the memory, since the store
+// doesn't go on behind the key that it was given.
+TEST_F(NewestPagesTest, PagesThatRepeatEndTheRead)
+{
+  constexpr int kMaxPages = 20;
+  PutTargets(10);
+  store_.SetPageFault(PageFault::kIgnoresKeys);
+  Start();
+  EXPECT_TRUE(RunUntil([&] { return HasTargets(kPageRecords); }));
+  context_.run_for(std::chrono::seconds(1));
+  EXPECT_LE(store_.PageCalls(kTargets), kMaxPages);
+}
+
+// Guards against a part of a list that is taken for all of it.
+TEST_F(NewestPagesTest, PageWithoutRecordsIsNotTheEnd)
+{
+  PutTargets(10);
+  store_.SetPageFault(PageFault::kSendsNothing);
+  EXPECT_CALL(log_, Write(testing::_, testing::_)).Times(testing::AnyNumber());
+  EXPECT_CALL(log_, Write(testing::Eq("list_incomplete"), testing::_))
+    .Times(testing::AtLeast(1));
+  Start();
+  EXPECT_TRUE(RunUntil([&] { return HasTargets(kPageRecords); }));
+  store_.SetPageFault(PageFault::kNone);
+  EXPECT_TRUE(RunUntil([&] { return HasTargets(10); }));
+}
+
+// Guards against a lost page that throws away those before it: with many pages
+// a list is never read whole then.
+TEST_F(NewestPagesTest, LostPageIsReadAgainAlone)
+{
+  constexpr int kPages = 24;
+  constexpr int kMaxPages = 2 * kPages;
+  PutTargets(kPages * static_cast<int>(kPageRecords));
+  store_.SetPageFault(PageFault::kFailsAtTimes);
+  Start();
+  EXPECT_TRUE(RunUntil([&] { return HasTargets(kPages * kPageRecords); }));
+  EXPECT_LE(store_.PageCalls(kTargets), kMaxPages);
+}
+
+class UnreadRestTest
+  : public NewestPagesTest
+  , public testing::WithParamInterface<PageFault>
+{
+};
+
+// Guards against a router that serves nobody, although it knows targets, since
+// the rest of their list can't be read; and against one that keeps such targets
+// when they are gone.
+TEST_P(UnreadRestTest, LeavesTheTargetsThatWereRead)
+{
+  PutTargets(10);
+  store_.SetPageFault(GetParam());
+  Start();
+  EXPECT_TRUE(RunUntil([&] { return HasTargets(kPageRecords); }));
+  store_.Put(kTargets, { "t-001", std::nullopt });
+  // A target writes its entry again and again.
+  PutTarget("t-007");
+  EXPECT_TRUE(RunUntil([&] {
+    return sink_.targets_ == std::set<std::string>{ "t-000", "t-002", "t-007" };
+  }));
+}
+
+// Guards against a configuration that is trusted without the records that were
+// not read, such as a zone's drain.
+TEST_P(UnreadRestTest, LeavesTheConfigurationUnconfirmed)
+{
+  for (const auto* zone : { "z1", "z2", "z3", "z4" }) {
+    store_.Put(kOperator, EncodeStandinZoneDrain(zone, true));
+  }
+  store_.SetPageFault(GetParam());
+  Start();
+  context_.run_for(std::chrono::seconds(2));
+  EXPECT_EQ(sink_.confirmed_, 0);
+  store_.SetPageFault(PageFault::kNone);
+  EXPECT_TRUE(
+    RunUntil([&] { return sink_.confirmed_ > 0 && sink_.drains_["z4"]; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults,
+                         UnreadRestTest,
+                         testing::Values(PageFault::kRejectsKeys,
+                                         PageFault::kFails,
+                                         PageFault::kIgnoresKeys,
+                                         PageFault::kSendsNothing),
+                         [](const testing::TestParamInfo<PageFault>& aInfo)
+                           -> std::string {
+                           switch (aInfo.param) {
+                             case PageFault::kRejectsKeys:
+                               return "Rejected";
+                             case PageFault::kFails:
+                               return "Failed";
+                             case PageFault::kIgnoresKeys:
+                               return "Repeated";
+                             default:
+                               return "Empty";
+                           }
+                         });
+
 } // namespace
 } // namespace burdockring
--- a/tests/platform/quarantine_records_test.cpp
+++ b/tests/platform/quarantine_records_test.cpp
@@ -39,6 +39,10 @@
               OnTargets,
               ((std::vector<std::pair<std::string, RegisteredTarget>>)),
               (override));
+  MOCK_METHOD(void,
+              OnTargetsInPart,
+              ((std::vector<std::pair<std::string, RegisteredTarget>>)),
+              (override));
   MOCK_METHOD(void, OnTargetListRead, (bool), (override));
   MOCK_METHOD(void, OnRouters, (const std::vector<RouterAddress>&), (override));
   MOCK_METHOD(void, OnStoredQuarantine, (const StoredQuarantine&), (override));
@@ -109,6 +113,37 @@
   EXPECT_EQ(quarantines_.Calls(), calls) << "reads are priced";
 }
 
+// Guards against records of another writer, or lost pages, that hide
+// quarantines from a started router.
+TEST_F(QuarantineRecordsTest, OddKeysAndLostPagesHideNone)
+{
+  store_.SetMaxPageRecords(3);
+  store_.SetPageFault(PageFault::kFailsAtTimes);
+  for (const auto* key : { "a b", "c&d", "e#f", "g+h", "i%41", "j\xff" }) {
+    for (const auto* number : { "1", "2", "3" }) {
+      store_.Put(kTopic, { std::string(key) + number, "odd" });
+    }
+  }
+  PutStored({ 3 });
+  store_.Put(kTopic, { "~last", EncodeQuarantine({ { 4 }, 600s, 0 }) });
+  Start();
+  EXPECT_TRUE(RunUntil([&] { return restored_.size() == 2; }));
+}
+
+// Guards against quarantines that are imposed again and again, as the read of
+// them never ends.
+TEST_F(QuarantineRecordsTest, PagesThatRepeatEndTheRead)
+{
+  store_.SetMaxPageRecords(1);
+  store_.SetPageFault(PageFault::kIgnoresKeys);
+  PutStored({ 3 });
+  PutStored({ 4 });
+  Start();
+  EXPECT_TRUE(RunUntil([&] { return !restored_.empty(); }));
+  context_.run_for(std::chrono::milliseconds(500));
+  EXPECT_LE(quarantines_.Calls(), 3);
+}
+
 TEST_F(QuarantineRecordsTest, ChangesAreWrittenAndDeleted)
 {
   Start();
--- a/tests/process/placement/target_directory_test.cpp
+++ b/tests/process/placement/target_directory_test.cpp
@@ -50,6 +50,35 @@
   EXPECT_NE(directory.Find(MakeId<TargetId>("lives")), nullptr);
 }
 
+// Guards against live targets that are dropped since the part of the list in
+// which they stand can't be read, and against gone ones that stay.
+TEST(TargetDirectory, PartOfAListDropsOthersAfterTheGracePeriod)
+{
+  TargetDirectory directory;
+  for (const auto* name : { "listed", "lives", "gone" }) {
+    directory.Put(name, MakeTarget(name, "pool", 4));
+  }
+  directory.ReplaceInPart({ { "listed", MakeTarget("listed", "pool", 4) } },
+                          10s);
+  EXPECT_EQ(directory.Usable(kPool).size(), 3U);
+  directory.Put("lives", MakeTarget("lives", "pool", 4));
+  directory.Tick(12001ms);
+  EXPECT_EQ(directory.Size(), 2U);
+  EXPECT_EQ(directory.Find(MakeId<TargetId>("gone")), nullptr);
+}
+
+// Guards against targets that come back with the rest of an older copy's list.
+TEST(TargetDirectory, GoneTargetsStayOutOfTheRestOfAnOlderCopysList)
+{
+  TargetDirectory directory;
+  directory.Put("gone", MakeTarget("gone", "pool", 4));
+  directory.Remove("gone", 10s);
+  directory.OnStoreRestored(20s);
+  directory.ReplaceInPart({}, 20s);
+  directory.Replace({ { "gone", MakeTarget("gone", "pool", 4) } }, 25s);
+  EXPECT_EQ(directory.Size(), 0U);
+}
+
 TEST(TargetDirectory, NothingExpiresWhileTheListIsUnreachable)
 {
   TargetDirectory directory;
--- a/tests/support/recording_sink.h
+++ b/tests/support/recording_sink.h
@@ -64,6 +64,12 @@
       targets_.insert(entry.first);
     }
   }
+  auto OnTargetsInPart(
+    std::vector<std::pair<std::string, RegisteredTarget>> aPart)
+    -> void override
+  {
+    OnTargets(std::move(aPart));
+  }
   auto OnTargetListRead(bool /*aSuccess*/) -> void override {}
   auto OnStoredQuarantine(const StoredQuarantine& /*aQuarantine*/)
     -> void override
