RecordCodec: names that are no field value name no target or account

Cause: an engine's name is the key of its entry, which anybody may write, and goes into a field of each request to that engine as it is; so does the name of an account. A line end in an otherwise sound entry added fields, or a request, to what the engine reads.

Such an entry names no engine, such an account gives nobody access.

--- a/src/base/http_rules.h
+++ b/src/base/http_rules.h
@@ -28,6 +28,10 @@
   return aStatus == kNoContent || aStatus == kNotModified;
 }
 
+/// Whether the text can be the value of a field as it is: not empty, without
+/// control characters but tabs, and without blanks at either end.
+auto IsFieldValue(std::string_view aText) -> bool;
+
 /// Whether the program decodes a message with this value of Transfer-Encoding:
 /// of chunks alone. Of other codings it knows neither the body nor its end.
 auto IsKnownTransferCoding(std::string_view aValue) -> bool;
--- a/tests/platform/record_codec_test.cpp
+++ b/tests/platform/record_codec_test.cpp
@@ -239,6 +239,34 @@
   EXPECT_FALSE(DecodeNewest(head + R"(k\ud8)").ok());
 }
 
+// Guards against a name of another writer that adds fields, or a request, to
+// those that are sent to a target.
+TEST(RecordCodec, NameThatIsNoFieldValueNamesNoTarget)
+{
+  const std::string entry =
+    R"({"service":"pool","zone":"z","state":"ready","slots":4,
+        "address":"127.0.0.1:1"})";
+  EXPECT_TRUE(DecodeTarget("i-1", entry).ok());
+  for (const std::string name :
+       { "i-1\r\nX-Other: 1", "i-1\r\n\r\nGET / HTTP/1.1", "i\n", "i\x01",
+         "i\x7f", "", " i", "i " }) {
+    EXPECT_FALSE(DecodeTarget(name, entry).ok()) << name;
+  }
+  EXPECT_FALSE(DecodeTarget(std::string("i\0", 2), entry).ok());
+}
+
+// Guards against an account whose name adds fields to its requests.
+TEST(RecordCodec, AccountThatCannotBeNamedGivesNoAccess)
+{
+  const auto table = DecodeConfiguration(
+    R"({"version":1,"routes":[],"tenants":[
+        {"name":"a\r\nX-Other: 1","apiKeys":["k1"]},
+        {"name":"b","apiKeys":["k2"]}]})");
+  ASSERT_TRUE(table.ok());
+  EXPECT_EQ((*table)->FindAccount("k1"), nullptr);
+  EXPECT_NE((*table)->FindAccount("k2"), nullptr);
+}
+
 /// An engine's entry that names no engine to use.
 struct OddEntry
 {
