StoreSource: a page that comes ends the back-off after lost ones

Cause: the read scheduler heard of a list's read only when it had ended, so failures of single pages added up over the pages. With one in three lost, a read of 24 pages had 11 failures in a row by its count, for which a router behind the first ranks waits up to 3.8 s before each further page.

Change: each page counts as a successful read.

--- a/src/process/forwarding/discovery_sink.h
+++ b/src/process/forwarding/discovery_sink.h
@@ -76,8 +76,8 @@
   /// aIsFirstRead: it has not read the list yet, or not in the current store
   /// epoch.
   virtual auto TimeToRead(SharedList aList, bool aIsFirstRead) -> Duration = 0;
-  /// This router's own read of a list has ended. aNews, if any, is forwarded to
-  /// other routers; it also reports an unreachable source.
+  /// This router's own read of a list, or of a page of it, has ended. aNews, if
+  /// any, is forwarded to other routers; it also reports an unreachable source.
   virtual auto OnListRead(SharedList aList,
                           bool aSuccess,
                           std::optional<wire::ListNews> aNews) -> void = 0;
--- a/tests/platform/newest_pages_test.cpp
+++ b/tests/platform/newest_pages_test.cpp
@@ -157,6 +157,8 @@
   Start();
   EXPECT_TRUE(RunUntil([&] { return HasTargets(kPages * kPageRecords); }));
   EXPECT_LE(store_.PageCalls(kTargets), kMaxPages);
+  // Pages that come between end the back-off.
+  EXPECT_EQ(sink_.mostFailuresInARow_, 1);
 }
 
 class UnreadRestTest
--- a/tests/support/recording_sink.h
+++ b/tests/support/recording_sink.h
@@ -3,6 +3,7 @@
 
 #include "platform/store_source.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -23,6 +24,9 @@
   std::vector<RouterAddress> routers_;
   std::vector<wire::ListNews> news_;
   int confirmed_ = 0;
+  /// Failed reads since the last successful one, and the most so far.
+  int failuresInARow_ = 0;
+  int mostFailuresInARow_ = 0;
   /// Whether this router relies on its peers.
   bool waits_ = false;
 
@@ -88,9 +92,11 @@
     return waits_ && !aFirst ? Duration(20ms) : Duration(0);
   }
   auto OnListRead(SharedList /*aList*/,
-                  bool /*aSuccess*/,
+                  bool aSuccess,
                   std::optional<wire::ListNews> aNews) -> void override
   {
+    failuresInARow_ = aSuccess ? 0 : failuresInARow_ + 1;
+    mostFailuresInARow_ = std::max(mostFailuresInARow_, failuresInARow_);
     if (aNews) {
       news_.push_back(std::move(*aNews));
     }
