Metrics: escape names in labels

Cause: names of accounts and routes, which come from the configuration, stood in labels as they were. One with a quote, a backslash or a line end made the whole exposition unreadable.

Change: Label writes all labels and escapes the three.

MetricsTest.NamesAreEscapedInLabels failed before, passes now.

--- a/src/main/metrics.cpp
+++ b/src/main/metrics.cpp
@@ -21,6 +21,24 @@
   return aClass == RequestClass::kBatch ? "batch" : "interactive";
 }
 
+/// A label of the exposition format, NAME="VALUE".
+auto Label(std::string_view aName, std::string_view aValue) -> std::string
+{
+  std::string text(aName);
+  text += "=\"";
+  for (const char byte : aValue) {
+    if (byte == '\n') {
+      text += "\\n";
+      continue;
+    }
+    if (byte == '"' || byte == '\\') {
+      text += '\\';
+    }
+    text += byte;
+  }
+  return text + '"';
+}
+
 auto Number(double aValue) -> std::string
 {
   std::array<char, 32> text{};
@@ -91,14 +109,14 @@
   *aText += "# TYPE burdockring_longest_event_gap_seconds histogram\n";
   for (const auto& entry : gapSeries_) {
     WriteHistogram("burdockring_longest_event_gap_seconds",
-                   "route=\"" + entry.first + '"', entry.second.histogram_,
+                   Label("route", entry.first), entry.second.histogram_,
                    entry.second.sum_, aText);
   }
   *aText += "# TYPE burdockring_streams_over_gap_limit_total counter\n";
   for (const auto& entry : gapSeries_) {
-    *aText += "burdockring_streams_over_gap_limit_total{route=\"" +
-              entry.first + "\"} " + std::to_string(entry.second.overLimit_) +
-              '\n';
+    *aText += "burdockring_streams_over_gap_limit_total{" +
+              Label("route", entry.first) + "} " +
+              std::to_string(entry.second.overLimit_) + '\n';
   }
 }
 
@@ -146,8 +164,8 @@
       "# TYPE burdockring_" + std::string(kKindNames.at(kind)) + " histogram\n";
     for (const auto& entry : series_) {
       WriteHistogram("burdockring_" + std::string(kKindNames.at(kind)),
-                     "account=\"" + entry.first.account_ + "\",class=\"" +
-                       entry.first.class_ + '"',
+                     Label("account", entry.first.account_) + ',' +
+                       Label("class", entry.first.class_),
                      entry.second.histograms_.at(kind),
                      entry.second.sums_.at(kind), &text);
     }
@@ -155,9 +173,10 @@
   text += "# TYPE burdockring_answers_total counter\n";
   for (const auto& entry : series_) {
     for (const auto& answers : entry.second.answers_) {
-      text += "burdockring_answers_total{account=\"" + entry.first.account_ +
-              "\",class=\"" + std::string(entry.first.class_) + "\",run=\"" +
-              std::string(RunStateName(answers.first)) + "\"} " +
+      text += "burdockring_answers_total{" +
+              Label("account", entry.first.account_) + ',' +
+              Label("class", entry.first.class_) + ',' +
+              Label("run", RunStateName(answers.first)) + "} " +
               std::to_string(answers.second) + '\n';
     }
   }
--- a/tests/main/metrics_test.cpp
+++ b/tests/main/metrics_test.cpp
@@ -33,6 +33,25 @@
     HasSubstr("burdockring_streams_over_gap_limit_total{route=\"free\"} 0"));
 }
 
+// Guards against a name from a configuration that ends its label and makes the
+// whole exposition unreadable.
+TEST(MetricsTest, NamesAreEscapedInLabels)
+{
+  Metrics metrics;
+  RequestTiming timing;
+  timing.accountName_ = "a\"b\\c\nd";
+  timing.className_ = "e\"f";
+  timing.total_ = 1s;
+  metrics.Record(timing);
+  metrics.RecordEventGaps("g\nh", 10ms, 0us);
+  const auto text = metrics.ToText();
+  const std::string labels = R"(account="a\"b\\c\nd",class="e\"f")";
+  EXPECT_THAT(text, HasSubstr("total_seconds_count{" + labels + "} 1\n"));
+  EXPECT_THAT(text, HasSubstr("answers_total{" + labels + ",run="));
+  EXPECT_THAT(text, HasSubstr(R"(gap_seconds_count{route="g\nh"} 1)"));
+  EXPECT_THAT(text, HasSubstr(R"(limit_total{route="g\nh"} 0)"));
+}
+
 TEST(MetricsTest, RoutesBeyondTheBoundCountTogether)
 {
   Metrics metrics;
