CallerPlaces: stalled clients make room for callers

Cause: with all places for callers taken (kMaxCallers, 3,300), the router closed each new connection at once and said that it was ready. The number did not follow the descriptors of the VM either: some VMs have 3,075 in all, and none would have been left for targets.

Change: CallerPlaces decides, without I/O. While less than 1/32 of the places is free, connections without a whole request end, incomplete requests with 503: those that have sent nothing for a second, the longest first, then the incomplete requests that have taken longest, above 2 s. Bytes that wait unread spare a connection. Places are the VM's descriptors less 800, or half of them, and 3,300 at most as before. The body of such a 503 says router_full in place of memory_full; memory_actions_total counts connection_closed.

--- a/src/connection/caller_connection.cpp
+++ b/src/connection/caller_connection.cpp
@@ -123,6 +123,7 @@
     Close();
     return;
   }
+  lastRead_ = BootNow();
   auto& shared = port_->Memory().SharedReadBuffer();
   std::size_t more = 0;
   if (aBytes == first_.size() && !pausedSince_) {
@@ -340,7 +341,7 @@
 {
   const bool isFull = aStatus == kUnavailable;
   const std::string body = fmt::format("{{\"error\":{{\"code\":\"{}\"}}}}\n",
-                                       isFull ? "memory_full" : "bad_message");
+                                       isFull ? "router_full" : "bad_message");
   reader_.reset();
   requestSince_.reset();
   pausedSince_.reset();
@@ -522,6 +523,34 @@
   }
 }
 
+auto CallerConnection::Place(Instant aNow) const -> std::optional<PlaceHolder>
+{
+  if (closed_ || exchange_ || !writing_.empty()) {
+    return std::nullopt;
+  }
+  PlaceHolder place;
+  // The caller can't progress while the router doesn't read.
+  place.stalled_ =
+    pausedSince_ ? Duration() : aNow - std::max(idleSince_, lastRead_);
+  place.reading_ = requestSince_ ? aNow - *requestSince_ : Duration();
+  return place;
+}
+
+auto CallerConnection::GiveUpPlace() -> void
+{
+  boost::system::error_code ignored;
+  if (closed_ || socket_.available(ignored) > 0) {
+    return;
+  }
+  port_->Memory().Count(MemoryAction::kConnectionClosed);
+  if (reader_) {
+    RefuseMessage(kUnavailable);
+  }
+  // The refusal has been handed to the system by then.
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->Close(); });
+}
+
 auto CallerConnection::SetReadPaused(bool aPaused) -> void
 {
   if (aPaused == pausedSince_.has_value()) {
--- a/src/connection/caller_connection.h
+++ b/src/connection/caller_connection.h
@@ -4,6 +4,7 @@
 #include "connection/exchange.h"
 #include "connection/memory_budget.h"
 #include "connection/message_reader.h"
+#include "process/memory/caller_places.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
@@ -77,6 +78,8 @@
   std::size_t progressAt_ = 0;
   /// When payload of the request, or space for the response, last came.
   Instant lastByte_{};
+  /// When the caller last sent something.
+  Instant lastRead_{};
   Instant lastWritten_{};
   /// Since when the router does not read the request, and for how long in all.
   std::optional<Instant> pausedSince_;
@@ -140,6 +143,11 @@
   /// What this connection holds that can be given up, if there is something.
   [[nodiscard]] auto Holder(Instant aNow) const -> std::optional<MemoryHolder>;
   auto GiveUpMemory() -> void;
+  /// The place that this connection holds without a whole request, if so.
+  [[nodiscard]] auto Place(Instant aNow) const -> std::optional<PlaceHolder>;
+  /// Closes the connection, an incomplete request with 503, unless bytes have
+  /// come that were not read yet.
+  auto GiveUpPlace() -> void;
   /// Pauses or resumes reading the request's body.
   auto SetReadPaused(bool aPaused) -> void;
 
--- a/src/connection/memory_budget.h
+++ b/src/connection/memory_budget.h
@@ -45,6 +45,8 @@
   kResponseClosed,
   /// A connection was closed as soon as it was accepted.
   kConnectionRejected,
+  /// A connection without a whole request was closed for new ones.
+  kConnectionClosed,
 };
 
 struct MemoryPurposeRow
@@ -76,6 +78,7 @@
   MemoryActionRow{ MemoryAction::kFramingRefused, "framing_refused" },
   MemoryActionRow{ MemoryAction::kResponseClosed, "response_closed" },
   MemoryActionRow{ MemoryAction::kConnectionRejected, "connection_rejected" },
+  MemoryActionRow{ MemoryAction::kConnectionClosed, "connection_closed" },
 };
 
 /// Account of the bytes that a process holds for callers and targets. Used on
--- a/src/main/forwarding_process.cpp
+++ b/src/main/forwarding_process.cpp
@@ -37,9 +37,6 @@
 /// to leave, so the queue must be short against the callers' aims; beyond it
 /// their systems try again.
 constexpr int kListenQueue = 64;
-/// Connections of callers that are served at once; the rest of the descriptors
-/// is for targets.
-constexpr std::size_t kMaxCallers = 3300;
 /// Above this, connections that have been idle for kShedIdle are closed.
 constexpr std::size_t kManyCallers = 2000;
 constexpr Duration kShedIdle = 2s;
@@ -93,7 +90,10 @@
       });
       return false;
     }
-    if (callers_.size() >= kMaxCallers ||
+    if (places_.IsShort(callers_.size())) {
+      FreePlaces();
+    }
+    if (!places_.MayTake(callers_.size()) ||
         !memory_.Pressure().MayHold(memory_.Held(), 0,
                                     sizeof(CallerConnection))) {
       memory_.Count(MemoryAction::kConnectionRejected);
@@ -492,6 +492,7 @@
   , settingsText_(std::move(aSettingsText))
   , settings_(std::move(aSettings))
   , memory_(settings_.bufferBytes_)
+  , places_(settings_.maxCallers_)
   , log_(settings_.self_.name_)
   , node_(settings_.forwarding_, settings_.self_, IncarnationNow(), &log_)
   , targets_(&context_, &memory_)
@@ -560,6 +561,28 @@
   }
 }
 
+auto ForwardingProcess::FreePlaces() -> void
+{
+  const auto now = BootNow();
+  if (now - lastPlaceRelief_ < kReliefInterval) {
+    return;
+  }
+  lastPlaceRelief_ = now;
+  const std::vector<std::shared_ptr<CallerConnection>> callers(callers_.begin(),
+                                                               callers_.end());
+  std::vector<PlaceHolder> holders;
+  for (std::size_t i = 0; i < callers.size(); ++i) {
+    if (auto holder = callers[i]->Place(now)) {
+      holder->id_ = i;
+      holders.push_back(*holder);
+    }
+  }
+  for (const auto id :
+       places_.SelectClosed(callers.size(), std::move(holders))) {
+    callers[id]->GiveUpPlace();
+  }
+}
+
 auto ForwardingProcess::Adapter() const -> const ProtocolAdapter&
 {
   return adapter_;
--- a/src/main/forwarding_process.h
+++ b/src/main/forwarding_process.h
@@ -39,6 +39,7 @@
   ProcessSettings settings_;
   /// Outlives the context, whose handlers hold connections.
   MemoryBudget memory_;
+  CallerPlaces places_;
   boost::asio::io_context context_{ 1 };
   BoundedLog log_;
   ForwardingNode node_;
@@ -68,6 +69,7 @@
   std::int64_t garbledDatagrams_ = 0;
   std::int64_t unsentDatagrams_ = 0;
   Instant lastRelief_{};
+  Instant lastPlaceRelief_{};
   bool hasPausedBodies_ = false;
   Instant lastMemoryLine_{};
   MemoryLevel loggedLevel_ = MemoryLevel::kFree;
@@ -86,6 +88,8 @@
   auto CheckMemory(Instant aNow) -> void;
   /// At most one line a second, where something has changed.
   auto LogMemory(Instant aNow) -> void;
+  /// Closes connections without a whole request, as new ones need places.
+  auto FreePlaces() -> void;
   auto StopWhenDone(Instant aNow) -> void;
   auto LookAtSettings(std::string_view aCause) -> void;
   auto NoteReadiness() -> void;
--- a/tests/main/bounded_memory_test.cpp
+++ b/tests/main/bounded_memory_test.cpp
@@ -246,6 +246,110 @@
                            return std::string(aInfo.param.name_);
                          });
 
+/// A router with 200 places for callers, and clients that hold them.
+class CrowdTest : public WatchedProcess
+{
+protected:
+  static constexpr int kCrowd = 400;
+  static constexpr int kCallers = 20;
+
+  asio::io_context context_;
+  std::vector<asio::ip::tcp::socket> crowd_;
+
+  auto SetUp() -> void override
+  {
+    maxDescriptors_ = 400;
+    ForwardProcess::SetUp();
+  }
+
+  auto Connect(const std::string& aStart) -> asio::ip::tcp::socket
+  {
+    asio::ip::tcp::socket socket(context_);
+    boost::system::error_code error;
+    socket.connect({ asio::ip::make_address("127.0.0.1"), kCallerPort }, error);
+    asio::write(socket, asio::buffer(aStart), error);
+    return socket;
+  }
+
+  /// Adds clients until the router has no place left.
+  auto AddCrowd(const std::string& aStart) -> void
+  {
+    for (int i = 0; i < kCrowd; ++i) {
+      crowd_.push_back(Connect(aStart));
+    }
+  }
+
+  static auto CountServed() -> int
+  {
+    int served = 0;
+    for (int i = 0; i < kCallers; ++i) {
+      served += Status(Ask("/once/x")) == "200" ? 1 : 0;
+    }
+    return served;
+  }
+
+  static auto ReadAll(asio::ip::tcp::socket* aSocket) -> std::string
+  {
+    std::string answer;
+    boost::system::error_code error;
+    asio::read(*aSocket, asio::dynamic_buffer(answer), error);
+    return answer;
+  }
+};
+
+const std::string kChunkedHead = "POST /once/x HTTP/1.1\r\nHost: h\r\n"
+                                 "X-Attempt-Id: a1\r\nConnection: close\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n";
+
+// Guards against clients that hold all places and send nothing: the router said
+// that it was ready and closed each new connection for the idle timeout.
+TEST_F(CrowdTest, StalledRequestsMakeRoomForCallers)
+{
+  AddCrowd(kChunkedHead + "5\r\nhello\r\n");
+  EXPECT_TRUE(WaitUntil([] { return Status(Ask("/once/x")) == "200"; }));
+  EXPECT_EQ(CountServed(), kCallers);
+  EXPECT_EQ(ReadAll(&crowd_.front()).substr(9, 3), "503");
+  EXPECT_GT(Metric("memory_actions_total{action=\"connection_closed\"}"), 0);
+}
+
+TEST_F(CrowdTest, UnusedConnectionsMakeRoomForCallers)
+{
+  AddCrowd("");
+  EXPECT_TRUE(WaitUntil([] { return Status(Ask("/once/x")) == "200"; }));
+  EXPECT_EQ(CountServed(), kCallers);
+}
+
+// Guards against a steady client, or a request that a target works on, that
+// ends for its place while others send nothing.
+TEST_F(CrowdTest, SteadyClientsAndWholeRequestsStay)
+{
+  constexpr Duration kLongAnswer = 2500ms;
+  SetScripts([](const std::string& aRequest) {
+    ScriptedAnswer answer{ Good(aRequest, "whole") };
+    if (aRequest.find("long") != std::string::npos) {
+      answer = { "", false, { answer.bytes_ }, kLongAnswer };
+    }
+    return answer;
+  });
+  auto steady = Connect(kChunkedHead);
+  auto whole = Connect("POST /once/long HTTP/1.1\r\nHost: h\r\n"
+                       "X-Attempt-Id: a1\r\nX-Deadline-Ms: 8000\r\n"
+                       "Connection: close\r\nContent-Length: 0\r\n\r\n");
+  AddCrowd(kChunkedHead + "5\r\nhello\r\n");
+  constexpr int kPieces = 10;
+  for (int i = 0; i < kPieces; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    boost::system::error_code error;
+    asio::write(steady, asio::buffer(std::string("1\r\nx\r\n")), error);
+    EXPECT_FALSE(error);
+    CountServed();
+  }
+  EXPECT_EQ(CountServed(), kCallers);
+  asio::write(steady, asio::buffer(std::string("0\r\n\r\n")));
+  EXPECT_EQ(Status(ReadAll(&steady)), "200");
+  EXPECT_EQ(Status(ReadAll(&whole)), "200");
+}
+
 class StalledBodyTest : public ForwardProcess
 {
 protected:
--- a/tests/platform/process_settings_test.cpp
+++ b/tests/platform/process_settings_test.cpp
@@ -71,6 +71,24 @@
   EXPECT_EQ(bufferMb(R"({"memoryMb":1e300})"), 499'980U);
 }
 
+// Guards against callers that take the descriptors which targets need.
+TEST(ProcessSettings, PlacesForCallersFollowTheDescriptors)
+{
+  const auto maxCallers = [](const std::string& aLimits) -> std::size_t {
+    auto text = kSettings;
+    text.insert(1, R"("limits":)" + aLimits + ",");
+    FindingList findings;
+    const auto settings = ReadProcessSettings(text, "f", &findings);
+    return settings ? settings->maxCallers_ : 0;
+  };
+  EXPECT_EQ(maxCallers("{}"), 3300U);
+  EXPECT_EQ(maxCallers(R"({"maxFds":4100})"), 3300U);
+  EXPECT_EQ(maxCallers(R"({"maxFds":10250})"), 3300U);
+  EXPECT_EQ(maxCallers(R"({"maxFds":3075})"), 2275U);
+  EXPECT_EQ(maxCallers(R"({"maxFds":400})"), 200U);
+  EXPECT_EQ(maxCallers(R"({"maxFds":1})"), 0U) << "below the least value";
+}
+
 TEST(ProcessSettings, NoJsonIsAFinding)
 {
   FindingList findings;
--- a/tests/support/forward_process.h
+++ b/tests/support/forward_process.h
@@ -43,6 +43,8 @@
   int attemptsOfUnsafe_ = 1;
   /// Memory of the router's VM; zero: the settings don't name it.
   int memoryMb_ = 0;
+  /// Descriptors of the router's process; zero: the settings don't name them.
+  int maxDescriptors_ = 0;
   /// Longest time without progress of a caller's connection.
   Duration idleTimeout_ = 15s;
   std::uint64_t bodyBytes_ = 100'000;
@@ -75,6 +77,7 @@
     router.store_ = kStorePort;
     router.grace_ = 6s;
     router.memoryMb_ = memoryMb_;
+    router.maxDescriptors_ = maxDescriptors_;
     std::ofstream(settings_) << EncodeStandinSettings(router);
   }
 
