--- a/tests/main/bounded_memory_test.cpp
+++ b/tests/main/bounded_memory_test.cpp
@@ -252,6 +252,8 @@
 protected:
   static constexpr int kCrowd = 400;
   static constexpr int kCallers = 20;
+  /// Time that a target takes for a path with "long".
+  static constexpr Duration kLongAnswer = 2500ms;
 
   asio::io_context context_;
   std::vector<asio::ip::tcp::socket> crowd_;
@@ -323,7 +325,6 @@
 // ends for its place while others send nothing.
 TEST_F(CrowdTest, SteadyClientsAndWholeRequestsStay)
 {
-  constexpr Duration kLongAnswer = 2500ms;
   SetScripts([](const std::string& aRequest) {
     ScriptedAnswer answer{ Good(aRequest, "whole") };
     if (aRequest.find("long") != std::string::npos) {
