SkippedRecords: plainer comments

Comments only; no change of behaviour. Formatting is clean, and the tests of SkippedRecords, NewestCursor, CallerPlaces, Metrics and, but for its property tests, RecordCodec pass.

--- a/tests/platform/skipped_records_test.cpp
+++ b/tests/platform/skipped_records_test.cpp
@@ -9,7 +9,7 @@
 
 using testing::_;
 
-// Guards against thousands of records of another writer whose lines crowd out
+// Guards against thousands of records of another writer whose lines displace
 // all others of the log.
 TEST(SkippedRecords, LogsEachKeyOnceAndFewInAPeriod)
 {
